Lay out modules and shared types

Cause: everything else needs one set of names, verdicts, events and effects. Change: eight Maven modules, the value types, a first version of each controller and of the filter chain, the wire codec, formatter and linter.

--- /dev/null
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/Node.java
@@ -0,0 +1,156 @@
+package org.pomelohollow.decision;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+import org.pomelohollow.decision.admission.AdmissionController;
+import org.pomelohollow.decision.attempt.AttemptFilter;
+import org.pomelohollow.decision.attempt.AttemptTransport;
+import org.pomelohollow.decision.config.ConfigController;
+import org.pomelohollow.decision.membership.MembershipController;
+import org.pomelohollow.decision.quota.QuotaController;
+import org.pomelohollow.decision.request.DeadlineFilter;
+import org.pomelohollow.decision.request.Exchange;
+import org.pomelohollow.decision.request.FilterChain;
+import org.pomelohollow.decision.request.KeyFilter;
+import org.pomelohollow.decision.request.QuotaFilter;
+import org.pomelohollow.decision.request.RouteFilter;
+import org.pomelohollow.decision.routing.Router;
+import org.pomelohollow.model.Endpoint;
+import org.pomelohollow.model.Member;
+
+/** All decisions of one daemon: its controllers and its filter chain. Confined to one thread. */
+public final class Node {
+  private static final int ROOT_RETRY_ALLOWANCE = 3;
+
+  private final LongSupplier clock;
+  private final Effects effects;
+  private final Deque<Event> pending = new ArrayDeque<>();
+  private final ConfigController config;
+  private final MembershipController membership;
+  private final AdmissionController admission;
+  private final List<Controller> controllers;
+  private final FilterChain chain;
+  private boolean dispatching;
+
+  /**
+   * Creates the decisions of a daemon.
+   *
+   * @param setup what the daemon knows at its start
+   * @param transport carries attempts to targets' daemons
+   * @param clock monotonic time, in nanoseconds
+   * @param random source of random choices
+   * @param outside takes the effects that reach beyond this node
+   */
+  public Node(
+      Setup setup,
+      AttemptTransport transport,
+      LongSupplier clock,
+      RandomGenerator random,
+      Effects outside) {
+    this.clock = clock;
+    this.effects = e -> route(e, outside);
+    this.config = new ConfigController(effects);
+    this.membership = new MembershipController(setup.self(), setup.seeds(), config, effects);
+    this.admission = new AdmissionController();
+    QuotaController quota = new QuotaController();
+    Router router = new Router(random);
+    KeyFilter keys = new KeyFilter();
+    this.controllers = List.of(config, keys, quota, router, admission, membership);
+    this.chain =
+        new FilterChain(
+            List.of(
+                new RouteFilter(config::inForce),
+                keys,
+                new DeadlineFilter(ROOT_RETRY_ALLOWANCE),
+                new QuotaFilter(quota),
+                new AttemptFilter(router, transport, clock)));
+  }
+
+  /**
+   * Hands an event to all controllers.
+   *
+   * @param event the event, not null
+   */
+  public void handle(Event event) {
+    pending.add(event);
+    if (dispatching) {
+      return;
+    }
+    dispatching = true;
+    try {
+      while (!pending.isEmpty()) {
+        dispatch(pending.remove());
+      }
+    } finally {
+      dispatching = false;
+    }
+  }
+
+  /**
+   * Starts a request at this daemon as its entry.
+   *
+   * @param x the request
+   */
+  public void start(Exchange x) {
+    chain.start(x, clock.getAsLong());
+  }
+
+  /** Returns the admission of this daemon's target. */
+  public AdmissionController admission() {
+    return admission;
+  }
+
+  /** Returns the configuration's controller. */
+  public ConfigController config() {
+    return config;
+  }
+
+  /** Returns the membership's controller. */
+  public MembershipController membership() {
+    return membership;
+  }
+
+  /** Returns the state of every part. */
+  public List<StateDump> dump() {
+    long now = clock.getAsLong();
+    List<StateDump> out = new ArrayList<>();
+    controllers.forEach(c -> out.add(c.dump(now)));
+    return out;
+  }
+
+  private void dispatch(Event event) {
+    long now = clock.getAsLong();
+    controllers.forEach(c -> c.handle(event, now));
+    membership.setTarget(admission.targetState(), now);
+  }
+
+  private void route(Effect e, Effects outside) {
+    if (e instanceof Effect.Raise r) {
+      handle(r.event());
+    } else {
+      outside.emit(e);
+    }
+  }
+
+  /**
+   * What a daemon knows at its start.
+   *
+   * @param self its identity, address and zone
+   * @param seeds addresses of peers to try before the log has told of any
+   * @param localService service of its target, if known
+   */
+  public record Setup(Member self, List<Endpoint> seeds, Optional<String> localService) {
+    /** Copies the list. */
+    public Setup {
+      Objects.requireNonNull(self, "self");
+      seeds = List.copyOf(seeds);
+      Objects.requireNonNull(localService, "localService");
+    }
+  }
+}
--- /dev/null
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/package-info.java
@@ -0,0 +1,2 @@
+/** Admission of requests at the daemon of a target. */
+package org.pomelohollow.decision.admission;
--- /dev/null
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/membership/MemberJoined.java
@@ -0,0 +1,23 @@
+package org.pomelohollow.decision.membership;
+
+import java.util.Objects;
+import org.pomelohollow.message.LogEntry;
+import org.pomelohollow.model.Endpoint;
+import org.pomelohollow.model.MemberId;
+import org.pomelohollow.model.ZoneId;
+
+/**
+ * A member joined, or renews its membership.
+ *
+ * @param member its identity
+ * @param peer address of its peer link
+ * @param zone its availability zone
+ */
+public record MemberJoined(MemberId member, Endpoint peer, ZoneId zone) implements LogEntry {
+  /** Checks the fields. */
+  public MemberJoined {
+    Objects.requireNonNull(member, "member");
+    Objects.requireNonNull(peer, "peer");
+    Objects.requireNonNull(zone, "zone");
+  }
+}
--- /dev/null
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/membership/package-info.java
@@ -0,0 +1,2 @@
+/** Membership: joins, heartbeats, leaves and the roster of live members. */
+package org.pomelohollow.decision.membership;
--- /dev/null
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/quota/package-info.java
@@ -0,0 +1,2 @@
+/** Rates of client accounts across all daemons. */
+package org.pomelohollow.decision.quota;
--- /dev/null
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/request/Exchange.java
@@ -0,0 +1,140 @@
+package org.pomelohollow.decision.request;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.pomelohollow.document.RouteEntry;
+import org.pomelohollow.errors.ErrorCode;
+import org.pomelohollow.model.AccountId;
+import org.pomelohollow.model.RequestContext;
+import org.pomelohollow.model.Verdict;
+
+/** A request at its entry daemon, from its arrival to its end. Confined to one thread. */
+public final class Exchange {
+  private final RequestHead head;
+  private final long arrivedNanos;
+  private final ExchangeListener listener;
+  private final List<Consumer<Verdict>> endHooks = new ArrayList<>();
+  private Optional<RouteEntry> route = Optional.empty();
+  private Optional<AccountId> account = Optional.empty();
+  private Optional<RequestContext> context = Optional.empty();
+  private Optional<Verdict> end = Optional.empty();
+
+  /**
+   * Creates an exchange.
+   *
+   * @param head the request
+   * @param arrivedNanos when it arrived, in nanoseconds of the monotonic clock
+   * @param listener hears what is decided
+   */
+  public Exchange(RequestHead head, long arrivedNanos, ExchangeListener listener) {
+    this.head = Objects.requireNonNull(head, "head");
+    this.arrivedNanos = arrivedNanos;
+    this.listener = Objects.requireNonNull(listener, "listener");
+  }
+
+  /** Returns the request as it came. */
+  public RequestHead head() {
+    return head;
+  }
+
+  /** Returns when the request arrived, in nanoseconds of the monotonic clock. */
+  public long arrivedNanos() {
+    return arrivedNanos;
+  }
+
+  /**
+   * Returns the matched route.
+   *
+   * @throws java.util.NoSuchElementException before {@link RouteFilter} has run
+   */
+  public RouteEntry route() {
+    return route.orElseThrow();
+  }
+
+  void setRoute(RouteEntry r) {
+    route = Optional.of(r);
+  }
+
+  /** Returns the authenticated account, empty on open routes. */
+  public Optional<AccountId> account() {
+    return account;
+  }
+
+  void setAccount(AccountId a) {
+    account = Optional.of(a);
+  }
+
+  /**
+   * Returns the context for the next hops.
+   *
+   * @throws java.util.NoSuchElementException before {@link DeadlineFilter} has run
+   */
+  public RequestContext context() {
+    return context.orElseThrow();
+  }
+
+  /**
+   * Replaces the context.
+   *
+   * @param c the new context
+   */
+  public void setContext(RequestContext c) {
+    context = Optional.of(c);
+  }
+
+  /** Returns whether the exchange has ended. */
+  public boolean hasEnded() {
+    return end.isPresent();
+  }
+
+  /**
+   * Adds a hook that is called once when the exchange ends, at once if it has.
+   *
+   * @param hook takes the final verdict
+   */
+  public void onEnd(Consumer<Verdict> hook) {
+    if (end.isPresent()) {
+      hook.accept(end.get());
+    } else {
+      endHooks.add(hook);
+    }
+  }
+
+  /**
+   * Ends the exchange with a refusal or failure, unless it has ended.
+   *
+   * @param verdict what the caller is told
+   */
+  public void refuse(Verdict verdict) {
+    if (finish(verdict)) {
+      listener.refused(verdict);
+    }
+  }
+
+  /**
+   * Ends the exchange with a refusal that gives no time for another try.
+   *
+   * @param code why it is refused
+   */
+  public void refuse(ErrorCode code) {
+    refuse(new Verdict.NotRun(code));
+  }
+
+  /**
+   * Ends the exchange because its answer went to the caller, or the caller left.
+   *
+   * @param verdict what is known of the request
+   * @return false if it had ended before
+   */
+  public boolean finish(Verdict verdict) {
+    if (end.isPresent()) {
+      return false;
+    }
+    end = Optional.of(verdict);
+    endHooks.forEach(h -> h.accept(verdict));
+    return true;
+  }
+}
--- /dev/null
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/request/ExchangeListener.java
@@ -0,0 +1,14 @@
+package org.pomelohollow.decision.request;
+
+import org.pomelohollow.model.Verdict;
+
+/** Hears what is decided of a request. */
+@FunctionalInterface
+public interface ExchangeListener {
+  /**
+   * The caller gets a problem document.
+   *
+   * @param verdict what to tell the caller
+   */
+  void refused(Verdict verdict);
+}
--- /dev/null
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/request/KeyFilter.java
@@ -0,0 +1,52 @@
+package org.pomelohollow.decision.request;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.pomelohollow.decision.Controller;
+import org.pomelohollow.decision.Event;
+import org.pomelohollow.decision.StateDump;
+import org.pomelohollow.document.KeyEntry;
+import org.pomelohollow.errors.ErrorCode;
+import org.pomelohollow.model.AccountId;
+
+/**
+ * Finds the account that a caller's key speaks for. Missing, malformed, unknown and withdrawn keys
+ * get the same answer. An outbound call of a target has the account of the request it belongs to.
+ */
+public final class KeyFilter implements Filter, Controller {
+  private Map<String, AccountId> accounts = Map.of();
+
+  @Override
+  public void apply(Exchange x, long nowNanos, Chain next) {
+    Optional<AccountId> a =
+        x.head()
+            .parent()
+            .map(p -> p.account())
+            .orElseGet(() -> x.head().key().map(KeyDigest::of).map(accounts::get));
+    if (a.isEmpty() && !x.route().open()) {
+      x.refuse(ErrorCode.KEY_REJECTED);
+      return;
+    }
+    if (!x.route().open() || x.head().parent().isPresent()) {
+      a.ifPresent(x::setAccount);
+    }
+    next.proceed(x, nowNanos);
+  }
+
+  @Override
+  public void handle(Event event, long nowNanos) {
+    if (event instanceof Event.ConfigInForce c) {
+      Map<String, AccountId> m = new HashMap<>();
+      for (KeyEntry k : c.configuration().document().keys()) {
+        m.put(k.digest(), k.account());
+      }
+      accounts = m;
+    }
+  }
+
+  @Override
+  public StateDump dump(long nowNanos) {
+    return StateDump.of("keys").line("count", accounts.size()).build();
+  }
+}
--- /dev/null
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/request/QuotaFilter.java
@@ -0,0 +1,39 @@
+package org.pomelohollow.decision.request;
+
+import org.pomelohollow.decision.quota.QuotaAnswer;
+import org.pomelohollow.decision.quota.QuotaController;
+import org.pomelohollow.errors.ErrorCode;
+import org.pomelohollow.model.Verdict;
+
+/** Charges a root request to its account. */
+public final class QuotaFilter implements Filter {
+  private final QuotaController quota;
+
+  /**
+   * Creates a filter.
+   *
+   * @param quota grants the requests
+   */
+  public QuotaFilter(QuotaController quota) {
+    this.quota = quota;
+  }
+
+  @Override
+  public void apply(Exchange x, long nowNanos, Chain next) {
+    if (!x.context().isRoot() || x.account().isEmpty()) {
+      next.proceed(x, nowNanos);
+      return;
+    }
+    quota.acquire(x.account().get(), nowNanos, a -> settle(x, nowNanos, next, a));
+  }
+
+  private static void settle(Exchange x, long nowNanos, Chain next, QuotaAnswer answer) {
+    if (answer instanceof QuotaAnswer.Granted) {
+      next.proceed(x, nowNanos);
+    } else if (answer instanceof QuotaAnswer.Exceeded e) {
+      x.refuse(new Verdict.NotRun(ErrorCode.RATE_EXCEEDED, e.retryAfterMillis()));
+    } else {
+      x.refuse(ErrorCode.QUOTA_UNAVAILABLE);
+    }
+  }
+}
--- /dev/null
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Choice of a target for an attempt. */
+package org.pomelohollow.decision.routing;
--- /dev/null
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/document/Parsed.java
@@ -0,0 +1,23 @@
+package org.pomelohollow.document;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * Outcome of reading a TOML file: a value, or every mistake found.
+ *
+ * @param <T> type of the value
+ * @param value the value; empty if there are problems
+ * @param problems every mistake, in the order of the file; empty if there is a value
+ */
+public record Parsed<T>(Optional<T> value, List<Problem> problems) {
+  /** Copies the list. */
+  public Parsed {
+    Objects.requireNonNull(value, "value");
+    problems = List.copyOf(problems);
+    if (value.isPresent() != problems.isEmpty()) {
+      throw new IllegalArgumentException("either a value or problems");
+    }
+  }
+}
--- /dev/null
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/document/package-info.java
@@ -0,0 +1,2 @@
+/** The configuration document: its records, its TOML reader and its checks. */
+package org.pomelohollow.document;
--- /dev/null
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/model/TargetLoad.java
@@ -0,0 +1,27 @@
+package org.pomelohollow.model;
+
+import java.util.Objects;
+
+/**
+ * Load of a target's daemon, carried back on every answer and refusal.
+ *
+ * @param limit requests in flight that the daemon admits at present
+ * @param inFlight requests at the target
+ * @param queued requests that wait
+ * @param cutOff least important priority that is still admitted; {@link Priority#NONE_SHED} if all
+ *     are
+ */
+public record TargetLoad(int limit, int inFlight, int queued, Priority cutOff) {
+  /** Nothing is known. */
+  public static final TargetLoad UNKNOWN = new TargetLoad(1, 0, 0, Priority.NONE_SHED);
+
+  /** Checks the fields. */
+  public TargetLoad {
+    Objects.requireNonNull(cutOff, "cutOff");
+  }
+
+  /** Returns work at hand over work admitted at once; above 1 when requests wait. */
+  public double utilization() {
+    return (inFlight + queued) / (double) Math.max(1, limit);
+  }
+}
--- /dev/null
+++ b/org.pomelohollow.junit/src/main/java/org/pomelohollow/junit/package-info.java
@@ -0,0 +1,2 @@
+/** Test helpers: injected time and recorded effects. */
+package org.pomelohollow.junit;
--- /dev/null
+++ b/org.pomelohollow.wire/src/main/java/org/pomelohollow/wire/WireCodec.java
@@ -0,0 +1,133 @@
+package org.pomelohollow.wire;
+
+import com.fasterxml.jackson.annotation.JsonFormat;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.introspect.Annotated;
+import com.fasterxml.jackson.databind.introspect.AnnotatedClass;
+import com.fasterxml.jackson.databind.introspect.JacksonAnnotationIntrospector;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+import java.io.IOException;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
+import org.pomelohollow.errors.ErrorCode;
+import org.pomelohollow.errors.PomelohollowException;
+import org.pomelohollow.message.LogEntry;
+import org.pomelohollow.message.PeerMessage;
+
+/**
+ * Turns messages and log entries into bytes and back: one type byte, then the record's components
+ * as a MessagePack array. Thread-safe.
+ */
+public final class WireCodec {
+  private static final int MAX_STRING_LENGTH = 4 << 20;
+  private static final int MAX_NESTING = 32;
+
+  private final ObjectMapper mapper;
+  private final Map<Class<?>, WireType> byClass = new HashMap<>();
+  private final Map<Integer, WireType> byNumber = new HashMap<>();
+
+  /** Creates a codec for all registered types. */
+  public WireCodec() {
+    MessagePackFactory factory = new MessagePackFactory();
+    factory.setStreamReadConstraints(
+        StreamReadConstraints.builder()
+            .maxNestingDepth(MAX_NESTING)
+            .maxStringLength(MAX_STRING_LENGTH)
+            .build());
+    mapper = new ObjectMapper(factory);
+    mapper.registerModule(new Jdk8Module());
+    mapper.setAnnotationIntrospector(new RecordsAsArrays());
+    mapper.enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES);
+    for (WireType t : WireType.values()) {
+      byClass.put(t.type(), t);
+      byNumber.put(t.number(), t);
+    }
+  }
+
+  /**
+   * Encodes a peer message or a log entry.
+   *
+   * @param record a record of a registered type, not null
+   * @return the bytes
+   * @throws PomelohollowException with {@link ErrorCode#INTERNAL} if the type is not registered
+   */
+  public byte[] encode(Object record) {
+    WireType t = byClass.get(record.getClass());
+    if (t == null) {
+      throw new PomelohollowException(
+          ErrorCode.INTERNAL, record.getClass().getName() + " has no wire type");
+    }
+    try {
+      byte[] body = mapper.writeValueAsBytes(record);
+      byte[] out = new byte[body.length + 1];
+      out[0] = (byte) t.number();
+      System.arraycopy(body, 0, out, 1, body.length);
+      return out;
+    } catch (JsonProcessingException e) {
+      throw new PomelohollowException(ErrorCode.INTERNAL, "cannot encode " + t, e);
+    }
+  }
+
+  /**
+   * Decodes a peer message.
+   *
+   * @param bytes encoded message
+   * @return the message
+   * @throws PomelohollowException with {@link ErrorCode#WIRE_MALFORMED} if it is none
+   */
+  public PeerMessage decodeMessage(byte[] bytes) {
+    if (decode(bytes) instanceof PeerMessage m) {
+      return m;
+    }
+    throw new PomelohollowException(ErrorCode.WIRE_MALFORMED, "not a peer message");
+  }
+
+  /**
+   * Decodes a log entry.
+   *
+   * @param bytes encoded entry
+   * @return the entry, empty if this version cannot read it
+   */
+  public Optional<LogEntry> decodeEntry(byte[] bytes) {
+    try {
+      return decode(bytes) instanceof LogEntry e ? Optional.of(e) : Optional.empty();
+    } catch (PomelohollowException e) {
+      return Optional.empty();
+    }
+  }
+
+  private Object decode(byte[] bytes) {
+    WireType t = bytes.length == 0 ? null : byNumber.get(bytes[0] & 0xff);
+    if (t == null) {
+      throw new PomelohollowException(ErrorCode.WIRE_MALFORMED, "unknown wire type");
+    }
+    try {
+      Object o = mapper.readValue(Arrays.copyOfRange(bytes, 1, bytes.length), t.type());
+      if (o == null) {
+        throw new PomelohollowException(ErrorCode.WIRE_MALFORMED, "empty " + t);
+      }
+      return o;
+    } catch (IOException | RuntimeException e) {
+      throw new PomelohollowException(ErrorCode.WIRE_MALFORMED, "cannot decode " + t, e);
+    }
+  }
+
+  /** Writes every record as an array of its components. */
+  private static final class RecordsAsArrays extends JacksonAnnotationIntrospector {
+    private static final long serialVersionUID = 1L;
+
+    @Override
+    public JsonFormat.Value findFormat(Annotated a) {
+      if (a instanceof AnnotatedClass c && c.getRawType().isRecord()) {
+        return new JsonFormat.Value().withShape(JsonFormat.Shape.ARRAY);
+      }
+      return super.findFormat(a);
+    }
+  }
+}
--- /dev/null
+++ b/org.pomelohollow.wire/src/main/java/org/pomelohollow/wire/WireType.java
@@ -0,0 +1,33 @@
+package org.pomelohollow.wire;
+
+import org.pomelohollow.decision.config.ConfigFetch;
+import org.pomelohollow.decision.config.ConfigProposal;
+import org.pomelohollow.decision.config.ConfigTransfer;
+import org.pomelohollow.decision.membership.Heartbeat;
+import org.pomelohollow.decision.membership.MemberJoined;
+
+/** Numbers of the message and entry types on the wire. A number is never used again. */
+enum WireType {
+  HEARTBEAT(1, Heartbeat.class),
+  CONFIG_FETCH(2, ConfigFetch.class),
+  CONFIG_TRANSFER(3, ConfigTransfer.class),
+
+  MEMBER_JOINED(100, MemberJoined.class),
+  CONFIG_PROPOSAL(101, ConfigProposal.class);
+
+  private final int number;
+  private final Class<? extends Record> type;
+
+  WireType(int number, Class<? extends Record> type) {
+    this.number = number;
+    this.type = type;
+  }
+
+  int number() {
+    return number;
+  }
+
+  Class<? extends Record> type() {
+    return type;
+  }
+}
--- /dev/null
+++ b/org.pomelohollow.wire/src/test/java/org/pomelohollow/wire/WireCodecTest.java
@@ -0,0 +1,64 @@
+package org.pomelohollow.wire;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.Arrays;
+import java.util.Optional;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.pomelohollow.decision.config.ConfigProposal;
+import org.pomelohollow.decision.membership.Heartbeat;
+import org.pomelohollow.errors.ErrorCode;
+import org.pomelohollow.errors.PomelohollowException;
+import org.pomelohollow.model.Endpoint;
+import org.pomelohollow.model.Member;
+import org.pomelohollow.model.MemberId;
+import org.pomelohollow.model.ServiceId;
+import org.pomelohollow.model.TargetState;
+import org.pomelohollow.model.ZoneId;
+
+class WireCodecTest {
+  private final WireCodec codec = new WireCodec();
+
+  @Example
+  void nestedRecordsAndOptionalsComeBack() {
+    Member m =
+        new Member(
+            new MemberId("h1", 7),
+            new Endpoint("127.0.0.1", 9),
+            new ZoneId("a"),
+            Optional.of(new TargetState(new ServiceId("s"), 4, 3, true, false)),
+            false);
+    Heartbeat h = new Heartbeat(m, 12, 3);
+    assertEquals(h, codec.decodeMessage(codec.encode(h)));
+  }
+
+  @Example
+  void anEntryIsNoMessage() {
+    byte[] b = codec.encode(new ConfigProposal("c", 0, "t"));
+    PomelohollowException e =
+        assertThrows(PomelohollowException.class, () -> codec.decodeMessage(b));
+    assertEquals(ErrorCode.WIRE_MALFORMED, e.code());
+  }
+
+  @Property(seed = "1", tries = 2000)
+  void everyInputIsDecodedOrRejected(@ForAll byte[] input) {
+    try {
+      codec.decodeMessage(input);
+    } catch (PomelohollowException e) {
+      assertEquals(ErrorCode.WIRE_MALFORMED, e.code());
+    }
+  }
+
+  @Property(seed = "2", tries = 500)
+  void aCutMessageIsRejected(@ForAll @net.jqwik.api.constraints.IntRange(max = 60) int keep) {
+    byte[] b =
+        codec.encode(
+            new ConfigProposal("change-1", 0, "name = \"a document that is rather long here\""));
+    if (keep < b.length) {
+      assertEquals(Optional.empty(), codec.decodeEntry(Arrays.copyOf(b, keep)));
+    }
+  }
+}
