Add the guard at a target's daemon

Cause: claims, quarantine and admission need one place to stand in, and the process around them one object to talk to for each request.

--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/Node.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/Node.java
@@ -5,13 +5,13 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Objects;
-import java.util.Optional;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.pomelohollow.decision.admission.AdmissionController;
 import org.pomelohollow.decision.attempt.AttemptFilter;
 import org.pomelohollow.decision.attempt.AttemptTransport;
 import org.pomelohollow.decision.config.ConfigController;
+import org.pomelohollow.decision.guard.Guard;
 import org.pomelohollow.decision.membership.MembershipController;
 import org.pomelohollow.decision.quota.QuotaController;
 import org.pomelohollow.decision.request.DeadlineFilter;
@@ -34,6 +34,7 @@
   private final ConfigController config;
   private final MembershipController membership;
   private final AdmissionController admission;
+  private final Guard guard;
   private final List<Controller> controllers;
   private final FilterChain chain;
   private boolean dispatching;
@@ -58,6 +59,7 @@
     this.config = new ConfigController(effects);
     this.membership = new MembershipController(setup.self(), setup.seeds(), config, effects);
     this.admission = new AdmissionController();
+    this.guard = new Guard(admission);
     QuotaController quota = new QuotaController();
     Router router = new Router(random);
     KeyFilter keys = new KeyFilter();
@@ -106,6 +108,11 @@
     return admission;
   }
 
+  /** Returns the guard of this daemon's target. */
+  public Guard guard() {
+    return guard;
+  }
+
   /** Returns the configuration's controller. */
   public ConfigController config() {
     return config;
@@ -143,14 +150,12 @@
    *
    * @param self its identity, address and zone
    * @param seeds addresses of peers to try before the log has told of any
-   * @param localService service of its target, if known
    */
-  public record Setup(Member self, List<Endpoint> seeds, Optional<String> localService) {
+  public record Setup(Member self, List<Endpoint> seeds) {
     /** Copies the list. */
     public Setup {
       Objects.requireNonNull(self, "self");
       seeds = List.copyOf(seeds);
-      Objects.requireNonNull(localService, "localService");
     }
   }
 }
--- /dev/null
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/guard/RecordedAnswer.java
@@ -0,0 +1,41 @@
+package org.pomelohollow.decision.guard;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * A target's whole answer, kept for resends of the request.
+ *
+ * @param status HTTP status
+ * @param headers header fields in order, as name and value
+ * @param body body in Base64
+ */
+public record RecordedAnswer(int status, List<Field> headers, String body) {
+  /** Copies the list. */
+  public RecordedAnswer {
+    headers = List.copyOf(headers);
+    Objects.requireNonNull(body, "body");
+  }
+
+  /**
+   * Finds a header.
+   *
+   * @param name name in any case
+   * @return the first value
+   */
+  public Optional<String> header(String name) {
+    return headers.stream()
+        .filter(f -> f.name().equalsIgnoreCase(name))
+        .map(Field::value)
+        .findFirst();
+  }
+
+  /**
+   * A header field.
+   *
+   * @param name name
+   * @param value value
+   */
+  public record Field(String name, String value) {}
+}
