Bound retries over the call tree and tell true verdicts

Cause: every child call got its parent's full retry allowance, so a tree could exceed it; a refusal after an attempt that may have run said not-run; nothing ended a request at its deadline; a refusal could be reported twice by a faulty transport.

Change: a ledger per call and per running request hands out parts and takes back only what no target saw. Extra attempts back off with jitter, draw on a budget per service, and go to targets not tried first. An exchange turns not-run into may-have-run while any attempt is unsettled. Timers run at ticks; the deadline filter uses them.

--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/Node.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/Node.java
@@ -10,6 +10,8 @@
 import org.pomelohollow.decision.admission.AdmissionController;
 import org.pomelohollow.decision.attempt.AttemptFilter;
 import org.pomelohollow.decision.attempt.AttemptTransport;
+import org.pomelohollow.decision.attempt.RetryBudgets;
+import org.pomelohollow.decision.attempt.RetrySettings;
 import org.pomelohollow.decision.config.ConfigController;
 import org.pomelohollow.decision.guard.Guard;
 import org.pomelohollow.decision.membership.MembershipController;
@@ -26,8 +28,6 @@
 
 /** All decisions of one daemon: its controllers and its filter chain. Confined to one thread. */
 public final class Node {
-  private static final int ROOT_RETRY_ALLOWANCE = 3;
-
   private final LongSupplier clock;
   private final Effects effects;
   private final Deque<Event> pending = new ArrayDeque<>();
@@ -59,19 +59,31 @@
     this.config = new ConfigController(effects);
     this.membership = new MembershipController(setup.self(), setup.seeds(), config, effects);
     this.admission = new AdmissionController();
+    Router router = new Router(random);
     this.guard = new Guard(admission);
+    Timers timers = new Timers();
+    RetrySettings retries = RetrySettings.DEFAULT;
+    AttemptFilter attempts =
+        new AttemptFilter(
+            new AttemptFilter.Parts(
+                router,
+                transport,
+                timers,
+                clock,
+                random,
+                retries,
+                new RetryBudgets(retries.ratio(), retries.burst())));
     QuotaController quota = new QuotaController();
-    Router router = new Router(random);
     KeyFilter keys = new KeyFilter();
-    this.controllers = List.of(config, keys, quota, router, admission, membership);
+    this.controllers = List.of(timers, config, keys, quota, router, admission, membership);
     this.chain =
         new FilterChain(
             List.of(
                 new RouteFilter(config::inForce),
                 keys,
-                new DeadlineFilter(ROOT_RETRY_ALLOWANCE),
+                new DeadlineFilter(retries.rootAllowance(), guard.running(), timers),
                 new QuotaFilter(quota),
-                new AttemptFilter(router, transport, clock)));
+                attempts));
   }
 
   /**
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/guard/Guard.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/guard/Guard.java
@@ -6,6 +6,7 @@
 /** Decides on every request that reaches the daemon of its target. */
 public final class Guard {
   private final AdmissionController admission;
+  private final RunningCalls running = new RunningCalls();
 
   /**
    * Creates a guard.
@@ -16,6 +17,11 @@
     this.admission = admission;
   }
 
+  /** Returns the requests that run at the target. */
+  public RunningCalls running() {
+    return running;
+  }
+
   /**
    * Offers a request.
    *
@@ -27,7 +33,7 @@
    */
   public GuardedCall offer(
       RequestContext context, boolean bulk, GuardListener listener, long nowNanos) {
-    GuardedCall c = new GuardedCall(admission, context, listener);
+    GuardedCall c = new GuardedCall(admission, running, context, listener);
     c.admit(bulk, nowNanos);
     return c;
   }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/guard/GuardedCall.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/guard/GuardedCall.java
@@ -11,12 +11,19 @@
 /** A request at the daemon of its target, from its arrival to its end. */
 public final class GuardedCall {
   private final AdmissionController admission;
+  private final RunningCalls running;
   private final RequestContext context;
   private final GuardListener listener;
   private Optional<Ticket> ticket = Optional.empty();
+  private boolean runs;
 
-  GuardedCall(AdmissionController admission, RequestContext context, GuardListener listener) {
+  GuardedCall(
+      AdmissionController admission,
+      RunningCalls running,
+      RequestContext context,
+      GuardListener listener) {
     this.admission = admission;
+    this.running = running;
     this.context = context;
     this.listener = listener;
   }
@@ -39,6 +46,11 @@
    * @param nowNanos current monotonic time, in nanoseconds
    */
   public void completed(Completion completion, Optional<RecordedAnswer> answer, long nowNanos) {
+    if (!runs) {
+      return;
+    }
+    runs = false;
+    running.ended(context);
     ticket.ifPresent(t -> admission.complete(t, completion, nowNanos));
   }
 
@@ -57,6 +69,8 @@
         new AdmissionListener() {
           @Override
           public void admitted() {
+            runs = true;
+            running.started(context);
             listener.run();
           }
 
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/request/DeadlineFilter.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/request/DeadlineFilter.java
@@ -2,20 +2,31 @@
 
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.pomelohollow.decision.Timers;
+import org.pomelohollow.decision.guard.RunningCalls;
 import org.pomelohollow.errors.ErrorCode;
 import org.pomelohollow.model.RequestContext;
 
-/** Gives a request its deadline and the context that rides along with it. */
+/**
+ * Gives a request its deadline and the context that rides along with it, and ends it when the
+ * deadline passes.
+ */
 public final class DeadlineFilter implements Filter {
   private final int rootRetryAllowance;
+  private final RunningCalls running;
+  private final Timers timers;
 
   /**
    * Creates a filter.
    *
    * @param rootRetryAllowance extra attempts that a root request and all calls below it share
+   * @param running requests that run at this daemon's target, whose calls share their allowance
+   * @param timers wakes the filter at deadlines
    */
-  public DeadlineFilter(int rootRetryAllowance) {
+  public DeadlineFilter(int rootRetryAllowance, RunningCalls running, Timers timers) {
     this.rootRetryAllowance = rootRetryAllowance;
+    this.running = running;
+    this.timers = timers;
   }
 
   @Override
@@ -31,6 +42,8 @@
       return;
     }
     x.setContext(c);
+    Runnable cancel = timers.at(c.deadlineNanos(), () -> x.refuse(ErrorCode.DEADLINE_EXCEEDED));
+    x.onEnd(v -> cancel.run());
     next.proceed(x, nowNanos);
   }
 
@@ -45,12 +58,12 @@
         deadline(x),
         x.route().idempotent(),
         x.head().idempotencyKey(),
-        fingerprint(x),
+        Fingerprint.of(x),
         rootRetryAllowance,
         0);
   }
 
-  private static RequestContext child(Exchange x, RequestContext parent) {
+  private RequestContext child(Exchange x, RequestContext parent) {
     return new RequestContext(
         x.head().requestId(),
         parent.rootId(),
@@ -61,8 +74,8 @@
         Math.min(deadline(x), parent.deadlineNanos()),
         x.route().idempotent(),
         x.head().idempotencyKey(),
-        fingerprint(x),
-        parent.retryAllowance(),
+        Fingerprint.of(x),
+        running.handToCall(parent.requestId()),
         parent.depth() + 1);
   }
 
@@ -72,11 +85,4 @@
             x.head().timeoutMillis().orElse(x.route().timeoutMillis()), x.route().timeoutMillis());
     return x.arrivedNanos() + TimeUnit.MILLISECONDS.toNanos(millis);
   }
-
-  private static long fingerprint(Exchange x) {
-    long h = x.head().contentHash();
-    h = h * 31 + x.head().method().hashCode();
-    h = h * 31 + x.head().path().hashCode();
-    return h * 31 + x.account().hashCode();
-  }
 }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/request/Exchange.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/request/Exchange.java
@@ -21,6 +21,7 @@
   private Optional<AccountId> account = Optional.empty();
   private Optional<RequestContext> context = Optional.empty();
   private Optional<Verdict> end = Optional.empty();
+  private int unsettledAttempts;
 
   /**
    * Creates an exchange.
@@ -103,14 +104,26 @@
     }
   }
 
+  /** Notes that an attempt was handed on; until it is settled the request may have run. */
+  public void attemptStarted() {
+    unsettledAttempts++;
+  }
+
+  /** Notes that an attempt ended and certainly did not run. */
+  public void attemptNotRun() {
+    unsettledAttempts--;
+  }
+
   /**
-   * Ends the exchange with a refusal or failure, unless it has ended.
+   * Ends the exchange with a refusal or failure, unless it has ended. A refusal as not run becomes
+   * one as may have run if any attempt of the request may have.
    *
    * @param verdict what the caller is told
    */
   public void refuse(Verdict verdict) {
-    if (finish(verdict)) {
-      listener.refused(verdict);
+    Verdict v = truthOf(verdict);
+    if (finish(v)) {
+      listener.refused(v);
     }
   }
 
@@ -137,4 +150,10 @@
     endHooks.forEach(h -> h.accept(verdict));
     return true;
   }
+
+  private Verdict truthOf(Verdict v) {
+    return v instanceof Verdict.NotRun n && unsettledAttempts > 0
+        ? new Verdict.MayHaveRun(n.code())
+        : v;
+  }
 }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/request/ExchangeListener.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/request/ExchangeListener.java
@@ -6,7 +6,7 @@
 @FunctionalInterface
 public interface ExchangeListener {
   /**
-   * The caller gets a problem document.
+   * The caller gets a problem document, or a cut connection if an answer to it has begun.
    *
    * @param verdict what to tell the caller
    */
