Fold the configuration stream the same way at every daemon

Cause: a reader that started in the middle of the stream, or after a peer's document, could accept a proposal that all others rejected; there were no checkpoints, fetches had no timeout, and nothing bounded the age of what a cut-off daemon knows.

Change: ConfigFold has a state only if every record after that state can be read. Checkpoints and transfers carry the whole state. A restore record starts anew after total loss.

--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/Node.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/Node.java
@@ -22,6 +22,7 @@
 import org.pomelohollow.decision.request.KeyFilter;
 import org.pomelohollow.decision.request.QuotaFilter;
 import org.pomelohollow.decision.request.RouteFilter;
+import org.pomelohollow.decision.request.StalenessFilter;
 import org.pomelohollow.decision.routing.Router;
 import org.pomelohollow.model.Endpoint;
 import org.pomelohollow.model.Member;
@@ -80,6 +81,7 @@
         new FilterChain(
             List.of(
                 new RouteFilter(config::inForce),
+                new StalenessFilter(config::isStale),
                 keys,
                 new DeadlineFilter(retries.rootAllowance(), guard.running(), timers),
                 new QuotaFilter(quota),
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/config/ConfigTransfer.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/config/ConfigTransfer.java
@@ -4,18 +4,13 @@
 import org.pomelohollow.message.PeerMessage;
 
 /**
- * Carries a configuration to a peer.
+ * Carries a configuration to a peer, with all that the peer needs to continue the fold.
  *
- * @param version version of the document
- * @param changeId change that brought it
- * @param text TOML text
- * @param nextOffset first offset of the log that the sender's fold has not read
+ * @param state state of the sender's fold
  */
-public record ConfigTransfer(long version, String changeId, String text, long nextOffset)
-    implements PeerMessage {
-  /** Checks the fields. */
+public record ConfigTransfer(ConfigState state) implements PeerMessage {
+  /** Checks the field. */
   public ConfigTransfer {
-    Objects.requireNonNull(changeId, "changeId");
-    Objects.requireNonNull(text, "text");
+    Objects.requireNonNull(state, "state");
   }
 }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/errors/ErrorCode.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/errors/ErrorCode.java
@@ -78,6 +78,8 @@
   CONFIG_BASE_MISMATCH("PH-2201", 0),
   /** The outcome of a publication is unknown. */
   CONFIG_OUTCOME_UNKNOWN("PH-2202", 0),
+  /** A published document is not valid. */
+  CONFIG_INVALID("PH-2203", 0),
   /** The platform log is unreachable. */
   LOG_UNAVAILABLE("PH-2301", 0),
   /** A record or frame could not be decoded. */
--- a/org.pomelohollow.wire/src/main/java/org/pomelohollow/wire/WireType.java
+++ b/org.pomelohollow.wire/src/main/java/org/pomelohollow/wire/WireType.java
@@ -1,7 +1,9 @@
 package org.pomelohollow.wire;
 
+import org.pomelohollow.decision.config.ConfigCheckpoint;
 import org.pomelohollow.decision.config.ConfigFetch;
 import org.pomelohollow.decision.config.ConfigProposal;
+import org.pomelohollow.decision.config.ConfigRestore;
 import org.pomelohollow.decision.config.ConfigTransfer;
 import org.pomelohollow.decision.membership.Heartbeat;
 import org.pomelohollow.decision.membership.MemberJoined;
@@ -13,7 +15,9 @@
   CONFIG_TRANSFER(3, ConfigTransfer.class),
 
   MEMBER_JOINED(100, MemberJoined.class),
-  CONFIG_PROPOSAL(101, ConfigProposal.class);
+  CONFIG_PROPOSAL(101, ConfigProposal.class),
+  CONFIG_CHECKPOINT(110, ConfigCheckpoint.class),
+  CONFIG_RESTORE(111, ConfigRestore.class);
 
   private final int number;
   private final Class<? extends Record> type;
--- a/org.pomelohollow.wire/src/test/java/org/pomelohollow/wire/WireCodecTest.java
+++ b/org.pomelohollow.wire/src/test/java/org/pomelohollow/wire/WireCodecTest.java
@@ -8,7 +8,10 @@
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import org.pomelohollow.decision.config.ConfigCheckpoint;
 import org.pomelohollow.decision.config.ConfigProposal;
+import org.pomelohollow.decision.config.ConfigState;
+import org.pomelohollow.decision.config.ConfigTransfer;
 import org.pomelohollow.decision.membership.Heartbeat;
 import org.pomelohollow.errors.ErrorCode;
 import org.pomelohollow.errors.PomelohollowException;
@@ -35,6 +38,15 @@
     assertEquals(h, codec.decodeMessage(codec.encode(h)));
   }
 
+  @Example
+  void theStateOfTheConfigurationComesBack() {
+    ConfigState state = new ConfigState(2, "t", java.util.List.of("a", "b"), 7);
+    ConfigTransfer t = new ConfigTransfer(state);
+    assertEquals(t, codec.decodeMessage(codec.encode(t)));
+    ConfigCheckpoint c = new ConfigCheckpoint(state);
+    assertEquals(Optional.of(c), codec.decodeEntry(codec.encode(c)));
+  }
+
   @Example
   void anEntryIsNoMessage() {
     byte[] b = codec.encode(new ConfigProposal("c", 0, "t"));
