Carry a call from a caller through two daemons to a target

Cause: nothing ran yet; every later part needs the whole path. Change: peer links with handshake, streams and credit; HTTP towards callers, targets and operators; settings; the log's client; stand-ins for log and target; the command line with daemon, dump and the stand-ins; one binary. Ruled out on the way: msgpack's unpacker on a direct buffer needs a package that the JDK does not export, so the head of a frame is copied first. Conclusion: PathTest carries a call over real sockets.

--- /dev/null
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/Daemon.java
@@ -0,0 +1,292 @@
+package org.pomelohollow.daemon;
+
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiFunction;
+import org.pomelohollow.daemon.internal.call.CallHandler;
+import org.pomelohollow.daemon.internal.call.RunningRequests;
+import org.pomelohollow.daemon.internal.call.TargetClient;
+import org.pomelohollow.daemon.internal.call.TargetSide;
+import org.pomelohollow.daemon.internal.http.AdminServer;
+import org.pomelohollow.daemon.internal.http.Entry;
+import org.pomelohollow.daemon.internal.http.Servers;
+import org.pomelohollow.daemon.internal.http.TargetServer;
+import org.pomelohollow.daemon.internal.link.LinkEvents;
+import org.pomelohollow.daemon.internal.link.Links;
+import org.pomelohollow.daemon.internal.log.LogPump;
+import org.pomelohollow.daemon.settings.Settings;
+import org.pomelohollow.decision.Effect;
+import org.pomelohollow.decision.Event;
+import org.pomelohollow.decision.Node;
+import org.pomelohollow.errors.PomelohollowException;
+import org.pomelohollow.message.PeerMessage;
+import org.pomelohollow.model.Endpoint;
+import org.pomelohollow.model.Member;
+import org.pomelohollow.model.MemberId;
+import org.pomelohollow.wire.HttpLogClient;
+import org.pomelohollow.wire.WireCodec;
+import org.reactivestreams.Publisher;
+import org.tinylog.Logger;
+import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Scheduler;
+import reactor.core.scheduler.Schedulers;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+import reactor.netty.resources.LoopResources;
+
+/** A daemon: the decisions of one node on one event loop, and the I/O around them. */
+public final class Daemon implements AutoCloseable {
+  private static final Duration TICK = Duration.ofMillis(50);
+  private static final Duration LIVENESS_CHECK = Duration.ofSeconds(1);
+  private static final Duration LEAVE_GRACE = Duration.ofMillis(1_500);
+  private static final Duration DRAIN_POLL = Duration.ofMillis(20);
+  private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(5);
+
+  private final Settings settings;
+  private final LoopResources loops = LoopResources.create("pomelohollow", 1, true);
+  private final Scheduler loop = Schedulers.fromExecutor(loops.onServer(true).next());
+  private final WireCodec codec = new WireCodec();
+  private final PrometheusMeterRegistry metrics =
+      new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+  private final RunningRequests running = new RunningRequests();
+  private final TargetClient target = new TargetClient(loops, loop);
+  private final MemberId self;
+  private final Entry entry;
+  private final Links links;
+  private final LogPump log;
+  private final TargetWatch watch;
+  private DisposableServer callerServer;
+  private DisposableServer targetServer;
+  private DisposableServer adminServer;
+  private Node node;
+
+  private Daemon(Settings settings) {
+    this.settings = settings;
+    this.self = new MemberId(settings.host(), System.currentTimeMillis());
+    this.entry = new Entry(self, running, System::nanoTime, settings.limits().maxBodyBytes());
+    this.links =
+        new Links(
+            self,
+            settings.secret(),
+            codec,
+            loops,
+            (h, b, s) -> targetSide().call(h, b, s),
+            new PeerEvents(),
+            m -> node.membership().addressOf(m));
+    this.log =
+        new LogPump(new HttpLogClient(settings.log(), loops, codec), codec, loop, this::handle);
+    this.watch = new TargetWatch(target, settings.limits().announceTimeout(), this::handle);
+  }
+
+  /**
+   * Starts a daemon.
+   *
+   * @param settings its settings; port 0 takes any free port
+   * @return the running daemon
+   * @throws org.pomelohollow.errors.PomelohollowException with {@link
+   *     org.pomelohollow.errors.ErrorCode#ADDRESS_UNAVAILABLE} if it cannot listen
+   */
+  public static Daemon start(Settings settings) {
+    Daemon d = new Daemon(settings);
+    try {
+      d.listen();
+    } catch (PomelohollowException e) {
+      d.close();
+      throw e;
+    }
+    return d;
+  }
+
+  /** Returns the identity of this run. */
+  public MemberId self() {
+    return self;
+  }
+
+  /** Returns the address for callers. */
+  public Endpoint callerAddress() {
+    return address(callerServer);
+  }
+
+  /** Returns the address for the target. */
+  public Endpoint targetAddress() {
+    return address(targetServer);
+  }
+
+  /** Returns the address for operators. */
+  public Endpoint adminAddress() {
+    return address(adminServer);
+  }
+
+  /** Returns the address for peers. */
+  public Endpoint peerAddress() {
+    return node.membership().roster().find(self).orElseThrow().peer();
+  }
+
+  /**
+   * Stops gracefully: tells peers, takes no new work, waits for running requests, then closes.
+   *
+   * @return ends when the daemon has closed
+   */
+  public Mono<Void> stop() {
+    return Mono.<Void>fromRunnable(this::leave)
+        .subscribeOn(loop)
+        .then(Mono.delay(LEAVE_GRACE, loop))
+        .then(drained().timeout(settings.limits().drainTimeout(), Mono.empty()))
+        .then(Mono.fromRunnable(this::close).subscribeOn(Schedulers.boundedElastic()))
+        .then();
+  }
+
+  /** Closes at once, running requests are cut. */
+  @Override
+  public void close() {
+    log.stop();
+    links.close();
+    disposeServer(callerServer);
+    disposeServer(targetServer);
+    disposeServer(adminServer);
+    loops.disposeLater(Duration.ZERO, CLOSE_TIMEOUT).block(CLOSE_TIMEOUT.multipliedBy(2));
+    metrics.close();
+  }
+
+  private void listen() {
+    int peerPort = links.listen(settings.listen().peer());
+    Endpoint peer = new Endpoint(settings.listen().peer().address(), peerPort);
+    Member me = new Member(self, peer, settings.zone(), Optional.empty(), false);
+    node =
+        new Node(
+            new Node.Setup(me, settings.seeds()),
+            entry,
+            System::nanoTime,
+            new SplittableRandom(self.hashCode()),
+            this::carryOut);
+    CallHandler here = targetSide();
+    entry.open(node, m -> m.equals(self) ? here : (h, b, s) -> links.call(m, h, b, s));
+    callerServer = server(settings.listen().caller(), entry::fromCaller);
+    TargetServer ts = new TargetServer(entry, watch);
+    targetServer = server(settings.listen().target(), ts::serve);
+    AdminServer as = new AdminServer(metrics, node::dump, node.config()::inForce);
+    adminServer = server(settings.listen().admin(), as::serve);
+    log.start();
+    every(TICK, this::tick);
+    every(LIVENESS_CHECK, links::checkLiveness);
+    Logger.info(
+        "daemon: {} in {} listens on {} for callers", self, settings.zone(), callerAddress());
+  }
+
+  private DisposableServer server(
+      Endpoint a, BiFunction<HttpServerRequest, HttpServerResponse, Publisher<Void>> handler) {
+    return Servers.start(
+        a, loops, settings.limits().maxHeaderBytes(), settings.limits().idleTimeout(), handler);
+  }
+
+  private TargetSide targetSide() {
+    return new TargetSide(node, target, running, System::nanoTime);
+  }
+
+  private void every(Duration d, Runnable r) {
+    loops
+        .onServer(true)
+        .next()
+        .scheduleWithFixedDelay(r, d.toNanos(), d.toNanos(), TimeUnit.NANOSECONDS);
+  }
+
+  private void tick() {
+    watch.check(System.nanoTime());
+    handle(new Event.Tick());
+  }
+
+  private void handle(Event e) {
+    node.handle(e);
+  }
+
+  private void leave() {
+    Logger.info("daemon: stopping, {} requests under way", entry.count() + running.count());
+    handle(new Event.Stopping());
+  }
+
+  private Mono<Void> drained() {
+    return Mono.fromSupplier(() -> entry.count() + running.count() == 0)
+        .subscribeOn(loop)
+        .filter(done -> done)
+        .repeatWhenEmpty(n -> n.delayElements(DRAIN_POLL, loop))
+        .then();
+  }
+
+  private void carryOut(Effect e) {
+    if (e instanceof Effect.Send s) {
+      links.send(s.to(), s.message());
+    } else if (e instanceof Effect.SendToAddress s) {
+      links.send(s.to(), s.message());
+    } else if (e instanceof Effect.Append a) {
+      log.append(a.appendId(), a.stream(), a.entry());
+    } else if (e instanceof Effect.ReadFrom r) {
+      log.readFrom(r.stream(), r.offset());
+    } else if (e instanceof Effect.Note n) {
+      write(n);
+    }
+  }
+
+  private static void write(Effect.Note n) {
+    if (n.warning()) {
+      Logger.warn("{}: {}", n.part(), n.message());
+    } else {
+      Logger.info("{}: {}", n.part(), n.message());
+    }
+  }
+
+  private static Endpoint address(DisposableServer s) {
+    return new Endpoint(((InetSocketAddress) s.address()).getAddress().getHostAddress(), s.port());
+  }
+
+  private static void disposeServer(DisposableServer s) {
+    if (s != null) {
+      s.disposeNow(CLOSE_TIMEOUT);
+    }
+  }
+
+  /** Hands what peers do to the node. */
+  private final class PeerEvents implements LinkEvents {
+    @Override
+    public void up(MemberId peer) {
+      handle(new Event.LinkUp(peer));
+    }
+
+    @Override
+    public void lost(MemberId peer) {
+      handle(new Event.LinkLost(peer));
+    }
+
+    @Override
+    public void received(MemberId from, PeerMessage message, int bytes) {
+      count("received", message, bytes);
+      handle(new Event.MessageReceived(from, message));
+    }
+
+    @Override
+    public void sent(PeerMessage message, int bytes) {
+      count("sent", message, bytes);
+    }
+
+    @Override
+    public void rejected(String cause) {
+      metrics.counter("pomelohollow.links.rejected").increment();
+      Logger.warn("links: connection closed: {}", cause);
+    }
+
+    private void count(String direction, PeerMessage m, int bytes) {
+      String type = m.getClass().getSimpleName();
+      metrics
+          .counter("pomelohollow.control.bytes", "direction", direction, "type", type)
+          .increment(bytes);
+      metrics
+          .counter("pomelohollow.control.messages", "direction", direction, "type", type)
+          .increment();
+    }
+  }
+}
--- /dev/null
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/AnswerSink.java
@@ -0,0 +1,28 @@
+package org.pomelohollow.daemon.internal.call;
+
+import io.netty.buffer.ByteBuf;
+import java.util.Optional;
+import org.pomelohollow.model.TargetLoad;
+import org.pomelohollow.model.Verdict;
+import org.pomelohollow.wire.AnswerHead;
+import reactor.core.publisher.Flux;
+
+/** Takes what comes of a call. Exactly one method is called, once; later calls are ignored. */
+public interface AnswerSink {
+  /**
+   * The target answers.
+   *
+   * @param head status and headers
+   * @param body body, to be subscribed once; each buffer is handed over to the subscriber; an error
+   *     means that the answer was cut short
+   */
+  void answered(AnswerHead head, Flux<ByteBuf> body);
+
+  /**
+   * There is no answer.
+   *
+   * @param verdict whether the request may have run
+   * @param load load of the target's daemon, if it was reached
+   */
+  void refused(Verdict verdict, Optional<TargetLoad> load);
+}
--- /dev/null
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/HeaderRules.java
@@ -0,0 +1,82 @@
+package org.pomelohollow.daemon.internal.call;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import org.pomelohollow.model.HeaderField;
+import org.pomelohollow.wire.Headers;
+
+/** Which header fields pass from one side to the other. */
+public final class HeaderRules {
+  private static final Set<String> HOP_BY_HOP =
+      Set.of(
+          "connection",
+          "keep-alive",
+          "proxy-authenticate",
+          "proxy-authorization",
+          "proxy-connection",
+          "te",
+          "trailer",
+          "transfer-encoding",
+          "upgrade",
+          "expect");
+  private static final Set<String> OWN =
+      Set.of(
+          Headers.REQUEST_ID.toLowerCase(Locale.ROOT),
+          Headers.TIMEOUT_MILLIS.toLowerCase(Locale.ROOT),
+          Headers.VERDICT.toLowerCase(Locale.ROOT),
+          Headers.ERROR.toLowerCase(Locale.ROOT));
+
+  private HeaderRules() {}
+
+  /**
+   * Returns the fields of a request that go to the target: no hop-by-hop fields, no key, and
+   * nothing that only a daemon may say.
+   *
+   * @param h fields as received
+   * @return fields in order
+   */
+  public static List<HeaderField> forTarget(HttpHeaders h) {
+    return select(h, Set.of(Headers.AUTHORIZATION.toLowerCase(Locale.ROOT)));
+  }
+
+  /**
+   * Returns the fields of an answer that go to the caller.
+   *
+   * @param h fields as received
+   * @return fields in order
+   */
+  public static List<HeaderField> forCaller(HttpHeaders h) {
+    return select(h, Set.of());
+  }
+
+  private static List<HeaderField> select(HttpHeaders h, Set<String> dropped) {
+    Set<String> named = namedByConnection(h);
+    List<HeaderField> out = new ArrayList<>();
+    for (Map.Entry<String, String> e : h) {
+      String n = e.getKey().toLowerCase(Locale.ROOT);
+      if (!HOP_BY_HOP.contains(n)
+          && !OWN.contains(n)
+          && !dropped.contains(n)
+          && !named.contains(n)) {
+        out.add(new HeaderField(e.getKey(), e.getValue()));
+      }
+    }
+    return out;
+  }
+
+  private static Set<String> namedByConnection(HttpHeaders h) {
+    Set<String> out = new HashSet<>();
+    for (String v : h.getAll(HttpHeaderNames.CONNECTION)) {
+      for (String name : v.split(",", -1)) {
+        out.add(name.strip().toLowerCase(Locale.ROOT));
+      }
+    }
+    return out;
+  }
+}
--- /dev/null
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/Servers.java
@@ -0,0 +1,59 @@
+package org.pomelohollow.daemon.internal.http;
+
+import java.time.Duration;
+import java.util.function.BiFunction;
+import org.pomelohollow.errors.ErrorCode;
+import org.pomelohollow.errors.PomelohollowException;
+import org.pomelohollow.model.Endpoint;
+import org.reactivestreams.Publisher;
+import reactor.netty.ChannelBindException;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+import reactor.netty.resources.LoopResources;
+
+/** HTTP servers of the daemon. */
+public final class Servers {
+  private static final Duration READ_TIMEOUT = Duration.ofSeconds(10);
+
+  private Servers() {}
+
+  /**
+   * Starts a server.
+   *
+   * @param address address to bind
+   * @param loops event loops with one worker
+   * @param maxHeaderBytes greatest size of a request's head, in bytes
+   * @param idleTimeout time after which an idle connection is closed
+   * @param handler serves requests
+   * @return the running server
+   * @throws PomelohollowException with {@link ErrorCode#ADDRESS_UNAVAILABLE}
+   */
+  public static DisposableServer start(
+      Endpoint address,
+      LoopResources loops,
+      int maxHeaderBytes,
+      Duration idleTimeout,
+      BiFunction<HttpServerRequest, HttpServerResponse, Publisher<Void>> handler) {
+    try {
+      return HttpServer.create()
+          .runOn(loops)
+          .host(address.address())
+          .port(address.port())
+          .idleTimeout(idleTimeout)
+          .readTimeout(READ_TIMEOUT)
+          .httpRequestDecoder(
+              s ->
+                  s.maxInitialLineLength(maxHeaderBytes)
+                      .maxHeaderSize(maxHeaderBytes)
+                      .validateHeaders(true)
+                      .allowDuplicateContentLengths(false))
+          .handle(handler)
+          .bindNow();
+    } catch (ChannelBindException e) {
+      throw new PomelohollowException(
+          ErrorCode.ADDRESS_UNAVAILABLE, "cannot listen on " + address, e);
+    }
+  }
+}
--- /dev/null
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP towards callers, targets and operators. */
+package org.pomelohollow.daemon.internal.http;
--- /dev/null
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/log/package-info.java
@@ -0,0 +1,2 @@
+/** Reads and appends of the platform log. */
+package org.pomelohollow.daemon.internal.log;
--- /dev/null
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/settings/SettingsReader.java
@@ -0,0 +1,179 @@
+package org.pomelohollow.daemon.settings;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.UnaryOperator;
+import org.pomelohollow.document.Parsed;
+import org.pomelohollow.document.Problem;
+import org.pomelohollow.document.TomlFile;
+import org.pomelohollow.document.TomlSection;
+import org.pomelohollow.errors.ErrorCode;
+import org.pomelohollow.errors.PomelohollowException;
+import org.pomelohollow.model.Endpoint;
+import org.pomelohollow.model.ZoneId;
+
+/** Reads and checks the settings file of a daemon. */
+public final class SettingsReader {
+  private static final List<String> LEVELS = List.of("trace", "debug", "info", "warn", "error");
+  private static final long MAX_MILLIS = Duration.ofHours(1).toMillis();
+
+  private final UnaryOperator<String> environment;
+
+  /**
+   * Creates a reader.
+   *
+   * @param environment gives the value of an environment variable, null if it is not set
+   */
+  public SettingsReader(UnaryOperator<String> environment) {
+    this.environment = environment;
+  }
+
+  /**
+   * Reads a settings file.
+   *
+   * @param file the file
+   * @return the settings, or every mistake found
+   */
+  public Parsed<Settings> read(Path file) {
+    try {
+      return read(file.toString(), Files.readString(file));
+    } catch (IOException e) {
+      Problem p = new Problem(file.toString(), "", 0, ErrorCode.FILE_UNREADABLE, "cannot be read");
+      return new Parsed<>(Optional.empty(), List.of(p));
+    }
+  }
+
+  /**
+   * Reads a settings text.
+   *
+   * @param file name for problems
+   * @param text TOML text
+   * @return the settings, or every mistake found
+   */
+  public Parsed<Settings> read(String file, String text) {
+    return TomlFile.read(file, text, this::read);
+  }
+
+  private Optional<Settings> read(TomlSection top) {
+    Optional<ZoneId> zone = top.convert("zone", ZoneId::new);
+    Optional<String> host = top.convert("host", h -> new ZoneId(h).value());
+    Optional<Settings.Listen> listen = require(top, "listen").flatMap(SettingsReader::readListen);
+    Optional<Endpoint> log = require(top, "log").flatMap(SettingsReader::readLog);
+    Optional<TomlSection> peers = require(top, "peers");
+    List<Endpoint> seeds = peers.map(SettingsReader::readSeeds).orElse(List.of());
+    Optional<PeerSecret> secret = peers.flatMap(this::readSecret);
+    peers.ifPresent(TomlSection::rejectUnknownKeys);
+    Settings.Limits limits =
+        top.section("limits").map(SettingsReader::readLimits).orElse(Settings.Limits.DEFAULT);
+    String level = top.section("logging").map(SettingsReader::readLevel).orElse("info");
+    top.rejectUnknownKeys();
+    if (top.problemCount() > 0) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        new Settings(
+            host.orElseThrow(),
+            zone.orElseThrow(),
+            listen.orElseThrow(),
+            log.orElseThrow(),
+            seeds,
+            secret.orElseThrow(),
+            limits,
+            level));
+  }
+
+  private static Optional<TomlSection> require(TomlSection top, String key) {
+    Optional<TomlSection> s = top.section(key);
+    if (s.isEmpty() && !top.has(key)) {
+      top.report(key, ErrorCode.TOML_MISSING_KEY, "is missing");
+    }
+    return s;
+  }
+
+  private static Optional<Settings.Listen> readListen(TomlSection s) {
+    Optional<Endpoint> caller = s.convert("caller", Endpoint::parse);
+    Optional<Endpoint> peer = s.convert("peer", Endpoint::parse);
+    Optional<Endpoint> target = s.convert("target", Endpoint::parse);
+    Optional<Endpoint> admin = s.convert("admin", Endpoint::parse);
+    s.rejectUnknownKeys();
+    if (caller.isEmpty() || peer.isEmpty() || target.isEmpty() || admin.isEmpty()) {
+      return Optional.empty();
+    }
+    return Optional.of(new Settings.Listen(caller.get(), peer.get(), target.get(), admin.get()));
+  }
+
+  private static Optional<Endpoint> readLog(TomlSection s) {
+    Optional<Endpoint> address = s.convert("address", Endpoint::parse);
+    s.rejectUnknownKeys();
+    return address;
+  }
+
+  private static List<Endpoint> readSeeds(TomlSection s) {
+    List<Endpoint> out = new ArrayList<>();
+    for (String seed : s.strings("seeds")) {
+      s.attempt("seeds", () -> Endpoint.parse(seed)).ifPresent(out::add);
+    }
+    return out;
+  }
+
+  private Optional<PeerSecret> readSecret(TomlSection s) {
+    boolean fromFile = s.has("secret_file");
+    boolean fromEnvironment = s.has("secret_env");
+    if (fromFile == fromEnvironment) {
+      s.report("secret_file", ErrorCode.TOML_MISSING_KEY, "needs either secret_file or secret_env");
+      return Optional.empty();
+    }
+    return fromFile
+        ? s.convert("secret_file", f -> PeerSecret.of(readFile(f)))
+        : s.convert("secret_env", v -> PeerSecret.of(readVariable(v)));
+  }
+
+  private static String readFile(String file) {
+    try {
+      return Files.readString(Path.of(file));
+    } catch (IOException e) {
+      throw new PomelohollowException(
+          ErrorCode.FILE_UNREADABLE, "file \"" + file + "\" cannot be read", e);
+    }
+  }
+
+  private String readVariable(String name) {
+    String v = environment.apply(name);
+    if (v == null) {
+      throw new PomelohollowException(
+          ErrorCode.TOML_DANGLING_VARIABLE, "environment variable " + name + " is not set");
+    }
+    return v;
+  }
+
+  private static Settings.Limits readLimits(TomlSection s) {
+    Settings.Limits d = Settings.Limits.DEFAULT;
+    Settings.Limits l =
+        new Settings.Limits(
+            (int) s.integer("max_header_bytes", d.maxHeaderBytes(), 1_024, 1 << 20),
+            s.integer("max_body_bytes", d.maxBodyBytes(), 0, Long.MAX_VALUE),
+            millis(s, "idle_timeout_ms", d.idleTimeout()),
+            millis(s, "drain_timeout_ms", d.drainTimeout()),
+            millis(s, "announce_timeout_ms", d.announceTimeout()));
+    s.rejectUnknownKeys();
+    return l;
+  }
+
+  private static Duration millis(TomlSection s, String key, Duration fallback) {
+    return Duration.ofMillis(s.integer(key, fallback.toMillis(), 1, MAX_MILLIS));
+  }
+
+  private static String readLevel(TomlSection s) {
+    String level = s.optionalString("level").orElse("info");
+    if (!LEVELS.contains(level)) {
+      s.report("level", ErrorCode.TOML_OUT_OF_RANGE, "is not one of " + LEVELS);
+    }
+    s.rejectUnknownKeys();
+    return level;
+  }
+}
--- /dev/null
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Settings of a daemon. */
+package org.pomelohollow.daemon.settings;
--- /dev/null
+++ b/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/Fleet.java
@@ -0,0 +1,152 @@
+package org.pomelohollow.daemon;
+
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.pomelohollow.daemon.settings.PeerSecret;
+import org.pomelohollow.daemon.settings.Settings;
+import org.pomelohollow.decision.config.ConfigProposal;
+import org.pomelohollow.decision.request.KeyDigest;
+import org.pomelohollow.message.LogStream;
+import org.pomelohollow.model.Endpoint;
+import org.pomelohollow.model.ZoneId;
+import org.pomelohollow.standin.log.LogStandIn;
+import org.pomelohollow.standin.target.TargetOptions;
+import org.pomelohollow.standin.target.TargetStandIn;
+import org.pomelohollow.wire.HttpLogClient;
+import org.pomelohollow.wire.WireCodec;
+import reactor.netty.resources.LoopResources;
+
+/** Daemons with their targets and a log in this process, over real sockets. */
+final class Fleet implements AutoCloseable {
+  static final String KEY = "a-key-for-tests";
+  static final Duration PATIENCE = Duration.ofSeconds(20);
+
+  private static final Endpoint ANY = new Endpoint("127.0.0.1", 0);
+
+  private final LoopResources loops = LoopResources.create("fleet", 1, true);
+  private final List<Daemon> daemons = new ArrayList<>();
+  private final List<TargetStandIn> targets = new ArrayList<>();
+  final LogStandIn log = LogStandIn.start(ANY);
+
+  /** Adds a daemon and a target of a service beside it. */
+  Fleet add(String host, String zone, String service) {
+    Daemon d = addDaemon(host, zone);
+    TargetOptions o = TargetOptions.warm(service, Optional.of(d.targetAddress()), 16, 1);
+    targets.add(TargetStandIn.start(o, ANY, () -> {}));
+    return this;
+  }
+
+  Daemon addDaemon(String host, String zone) {
+    Settings s =
+        new Settings(
+            host,
+            new ZoneId(zone),
+            new Settings.Listen(ANY, ANY, ANY, ANY),
+            log.address(),
+            List.of(),
+            PeerSecret.of("a secret for tests only"),
+            Settings.Limits.DEFAULT,
+            "warn");
+    Daemon d = Daemon.start(s);
+    daemons.add(d);
+    return d;
+  }
+
+  void publish(String changeId, long base, String text) {
+    new HttpLogClient(log.address(), loops, new WireCodec())
+        .append(
+            LogStream.CONFIG.streamName(),
+            new WireCodec().encode(new ConfigProposal(changeId, base, text)))
+        .block(PATIENCE);
+  }
+
+  Daemon daemon(int i) {
+    return daemons.get(i);
+  }
+
+  TargetStandIn target(int i) {
+    return targets.get(i);
+  }
+
+  /** Waits until a condition holds, or fails. */
+  static void await(String what, java.util.function.BooleanSupplier condition) {
+    long end = System.nanoTime() + PATIENCE.toNanos();
+    while (!condition.getAsBoolean()) {
+      if (System.nanoTime() > end) {
+        throw new AssertionError("not within " + PATIENCE + ": " + what);
+      }
+      Thread.onSpinWait();
+    }
+  }
+
+  static HttpRequest.Builder request(Daemon d, String path) {
+    return HttpRequest.newBuilder(URI.create("http://" + d.callerAddress() + path))
+        .timeout(PATIENCE)
+        .header("Authorization", "Bearer " + KEY);
+  }
+
+  static HttpClient client() {
+    return HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+  }
+
+  static String document(String services) {
+    return """
+    name = "test"
+    priorities = ["high", "normal", "low"]
+
+    [zones.a]
+    [zones.b]
+    [zones.c]
+
+    [accounts.one]
+    rate = 100000.0
+    burst = 100000.0
+
+    [[keys]]
+    account = "one"
+    sha256 = "%s"
+
+    """
+            .formatted(KeyDigest.of(KEY))
+        + services;
+  }
+
+  static String service(String name) {
+    return """
+    [services.%1$s]
+    slots = 16
+    connections = 64
+    cold_start_slots = 16
+
+    [[routes]]
+    name = "%1$s-read"
+    service = "%1$s"
+    methods = ["GET", "HEAD"]
+    path = "/%1$s/**"
+    priority = "normal"
+    idempotent = true
+
+    [[routes]]
+    name = "%1$s-write"
+    service = "%1$s"
+    methods = ["POST", "PUT"]
+    path = "/%1$s/**"
+    priority = "high"
+
+    """
+        .formatted(name);
+  }
+
+  @Override
+  public void close() {
+    targets.forEach(TargetStandIn::close);
+    daemons.forEach(Daemon::close);
+    log.close();
+    loops.dispose();
+  }
+}
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/guard/RecordedAnswer.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/guard/RecordedAnswer.java
@@ -3,15 +3,16 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import org.pomelohollow.model.HeaderField;
 
 /**
  * A target's whole answer, kept for resends of the request.
  *
  * @param status HTTP status
- * @param headers header fields in order, as name and value
+ * @param headers header fields in order
  * @param body body in Base64
  */
-public record RecordedAnswer(int status, List<Field> headers, String body) {
+public record RecordedAnswer(int status, List<HeaderField> headers, String body) {
   /** Copies the list. */
   public RecordedAnswer {
     headers = List.copyOf(headers);
@@ -27,15 +28,7 @@
   public Optional<String> header(String name) {
     return headers.stream()
         .filter(f -> f.name().equalsIgnoreCase(name))
-        .map(Field::value)
+        .map(HeaderField::value)
         .findFirst();
   }
-
-  /**
-   * A header field.
-   *
-   * @param name name
-   * @param value value
-   */
-  public record Field(String name, String value) {}
 }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/membership/MembershipController.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/membership/MembershipController.java
@@ -61,6 +61,16 @@
     return roster;
   }
 
+  /**
+   * Finds the address of a member's peer link, live or not.
+   *
+   * @param id identity of the member
+   * @return the address, if the member is known
+   */
+  public Optional<Endpoint> addressOf(MemberId id) {
+    return Optional.ofNullable(heard.get(id)).map(h -> h.member.peer());
+  }
+
   /**
    * Sets what this daemon tells of its target.
    *
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/errors/ErrorCode.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/errors/ErrorCode.java
@@ -66,6 +66,8 @@
   TOML_MISSING_KEY("PH-2004", 0),
   /** A value is outside its range. */
   TOML_OUT_OF_RANGE("PH-2005", 0),
+  /** An environment variable is not set. */
+  TOML_DANGLING_VARIABLE("PH-2006", 0),
   /** A name refers to nothing. */
   DOCUMENT_DANGLING_NAME("PH-2101", 0),
   /** A name, key or account is defined twice. */
--- /dev/null
+++ b/org.pomelohollow.pgm/src/main/java/org/pomelohollow/pgm/DaemonCommand.java
@@ -0,0 +1,48 @@
+package org.pomelohollow.pgm;
+
+import java.nio.file.Path;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import org.pomelohollow.daemon.Daemon;
+import org.pomelohollow.daemon.settings.Settings;
+import org.pomelohollow.daemon.settings.SettingsReader;
+import org.pomelohollow.document.Parsed;
+
+/** Runs a daemon until it is told to stop. */
+final class DaemonCommand implements Command {
+  private static final String SETTINGS = "settings";
+
+  @Override
+  public String name() {
+    return "daemon";
+  }
+
+  @Override
+  public String summary() {
+    return "run one daemon beside its target";
+  }
+
+  @Override
+  public void declare(OptionParser parser) {
+    parser.accepts(SETTINGS, "settings file (TOML)").withRequiredArg().required();
+  }
+
+  @Override
+  public ExitCode run(OptionSet options, Console console) {
+    Path file = Path.of((String) options.valueOf(SETTINGS));
+    Parsed<Settings> s = new SettingsReader(System::getenv).read(file);
+    if (s.value().isEmpty()) {
+      s.problems().forEach(p -> console.err().println(p));
+      return ExitCode.FAILED;
+    }
+    Logging.setLevel(s.value().get().logLevel());
+    Daemon d = Daemon.start(s.value().get());
+    console.out().println("callers " + d.callerAddress());
+    console.out().println("peers " + d.peerAddress());
+    console.out().println("target " + d.targetAddress());
+    console.out().println("admin " + d.adminAddress());
+    console.out().flush();
+    StopSignal.await(() -> d.stop().block());
+    return ExitCode.DONE;
+  }
+}
--- /dev/null
+++ b/org.pomelohollow.pgm/src/main/java/org/pomelohollow/pgm/package-info.java
@@ -0,0 +1,2 @@
+/** Command line: one small class for each subcommand. */
+package org.pomelohollow.pgm;
--- a/org.pomelohollow.wire/src/main/java/org/pomelohollow/wire/WireCodec.java
+++ b/org.pomelohollow.wire/src/main/java/org/pomelohollow/wire/WireCodec.java
@@ -88,6 +88,23 @@
     throw new PomelohollowException(ErrorCode.WIRE_MALFORMED, "not a peer message");
   }
 
+  /**
+   * Decodes a record of one registered type.
+   *
+   * @param <T> type of the record
+   * @param type type of the record
+   * @param bytes encoded record
+   * @return the record
+   * @throws PomelohollowException with {@link ErrorCode#WIRE_MALFORMED} if it is none
+   */
+  public <T extends Record> T decode(Class<T> type, byte[] bytes) {
+    Object o = decode(bytes);
+    if (type.isInstance(o)) {
+      return type.cast(o);
+    }
+    throw new PomelohollowException(ErrorCode.WIRE_MALFORMED, "not a " + type.getSimpleName());
+  }
+
   /**
    * Decodes a log entry.
    *
--- a/org.pomelohollow.wire/src/main/java/org/pomelohollow/wire/WireType.java
+++ b/org.pomelohollow.wire/src/main/java/org/pomelohollow/wire/WireType.java
@@ -13,6 +13,11 @@
   HEARTBEAT(1, Heartbeat.class),
   CONFIG_FETCH(2, ConfigFetch.class),
   CONFIG_TRANSFER(3, ConfigTransfer.class),
+  CALL_HEAD(4, CallHead.class),
+  ANSWER_HEAD(5, AnswerHead.class),
+  REFUSAL(6, Refusal.class),
+  LOG_SLICE(7, LogSlice.class),
+  HELLO(8, Hello.class),
 
   MEMBER_JOINED(100, MemberJoined.class),
   CONFIG_PROPOSAL(101, ConfigProposal.class),
