Test the path with odd requests over real sockets

Cause: HEAD, chunked and cut bodies, forged and hop-by-hop headers, stalled streams and strangers on the peer link had no test. Found: a timeout header that is no number was answered with status 500.

--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/Entry.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/Entry.java
@@ -114,6 +114,7 @@
     String id = ids.next();
     try {
       long length = bodyLength(req.requestHeaders());
+      checkTimeout(req.requestHeaders());
       if (length > maxBodyBytes) {
         return Problems.send(res, id, new Verdict.NotRun(ErrorCode.REQUEST_TOO_LARGE));
       }
@@ -163,11 +164,21 @@
             .filter(a -> a.startsWith(BEARER))
             .map(a -> a.substring(BEARER.length())),
         Optional.ofNullable(h.get(Headers.IDEMPOTENCY_KEY)),
-        Optional.ofNullable(h.get(Headers.TIMEOUT_MILLIS)).map(Long::parseLong),
+        timeoutMillis(h),
         contentHash(req.uri(), body),
         parent);
   }
 
+  private static Optional<Long> timeoutMillis(HttpHeaders h) {
+    return Optional.ofNullable(h.get(Headers.TIMEOUT_MILLIS)).map(Long::parseLong);
+  }
+
+  private static void checkTimeout(HttpHeaders h) {
+    if (timeoutMillis(h).filter(t -> t < 0).isPresent()) {
+      throw new NumberFormatException("negative timeout");
+    }
+  }
+
   private static long contentHash(String uri, RequestBody body) {
     long h = uri.hashCode();
     h = h * 31 + body.length();
--- a/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/Fleet.java
+++ b/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/Fleet.java
@@ -1,12 +1,15 @@
 package org.pomelohollow.daemon;
 
+import java.io.IOException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
+import java.net.http.HttpResponse.BodyHandlers;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import org.pomelohollow.daemon.settings.PeerSecret;
 import org.pomelohollow.daemon.settings.Settings;
 import org.pomelohollow.decision.config.ConfigProposal;
@@ -34,9 +37,10 @@
   final LogStandIn log = LogStandIn.start(ANY);
 
   /** Adds a daemon and a target of a service beside it. */
-  Fleet add(String host, String zone, String service) {
+  Fleet add(String host, String zone, String service, String... calls) {
     Daemon d = addDaemon(host, zone);
-    TargetOptions o = TargetOptions.warm(service, Optional.of(d.targetAddress()), 16, 1);
+    TargetOptions o =
+        TargetOptions.warm(service, Optional.of(d.targetAddress()), 16, 1).withCalls(calls);
     targets.add(TargetStandIn.start(o, ANY, () -> {}));
     return this;
   }
@@ -74,7 +78,7 @@
   }
 
   /** Waits until a condition holds, or fails. */
-  static void await(String what, java.util.function.BooleanSupplier condition) {
+  static void await(String what, BooleanSupplier condition) {
     long end = System.nanoTime() + PATIENCE.toNanos();
     while (!condition.getAsBoolean()) {
       if (System.nanoTime() > end) {
@@ -90,6 +94,18 @@
         .header("Authorization", "Bearer " + KEY);
   }
 
+  /** Returns the status of a GET, 0 if there is none. */
+  static int status(Daemon d, String path) {
+    try {
+      return client().send(request(d, path).build(), BodyHandlers.discarding()).statusCode();
+    } catch (IOException e) {
+      return 0;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return 0;
+    }
+  }
+
   static HttpClient client() {
     return HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
   }
--- /dev/null
+++ b/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/LinkTest.java
@@ -0,0 +1,66 @@
+package org.pomelohollow.daemon;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.InputStream;
+import java.net.Socket;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.util.List;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.pomelohollow.model.Endpoint;
+
+class LinkTest {
+  private static final int BYTES = 64 << 20;
+
+  private static Fleet fleet;
+
+  @BeforeAll
+  static void start() {
+    fleet = new Fleet().add("h1", "a", "front").add("h2", "b", "back");
+    fleet.publish("c1", 0, Fleet.document(Fleet.service("front") + Fleet.service("back")));
+    Fleet.await(
+        "calls reach the other host", () -> Fleet.status(fleet.daemon(0), "/back/x") == 200);
+  }
+
+  @AfterAll
+  static void stop() {
+    fleet.close();
+  }
+
+  @Test
+  void strangersAreClosedAndDisturbNobody() throws Exception {
+    for (byte[] bad :
+        List.of(
+            "GET / HTTP/1.1\r\n\r\n".getBytes(java.nio.charset.StandardCharsets.US_ASCII),
+            new byte[] {0x7f, 0, 0, 0, 1},
+            new byte[] {0, 0, 0, 3, 1, 2, 3},
+            new byte[] {0, 0, 0, 0})) {
+      Endpoint peer = fleet.daemon(1).peerAddress();
+      try (Socket s = new Socket(peer.address(), peer.port())) {
+        s.setSoTimeout((int) Fleet.PATIENCE.toMillis());
+        s.getOutputStream().write(bad);
+        s.getInputStream().readAllBytes();
+      }
+    }
+    assertEquals(200, Fleet.status(fleet.daemon(0), "/back/x"));
+  }
+
+  @Test
+  void aStalledStreamHoldsUpNoOther() throws Exception {
+    HttpResponse<InputStream> stalled =
+        Fleet.client()
+            .send(
+                Fleet.request(fleet.daemon(0), "/back/x?bytes=" + BYTES).build(),
+                BodyHandlers.ofInputStream());
+    try (InputStream in = stalled.body()) {
+      in.readNBytes(1);
+      for (int i = 0; i < 20; i++) {
+        assertEquals(200, Fleet.status(fleet.daemon(0), "/back/x"));
+      }
+      assertEquals(BYTES - 1, in.transferTo(java.io.OutputStream.nullOutputStream()));
+    }
+  }
+}
--- a/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/PathTest.java
+++ b/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/PathTest.java
@@ -1,24 +1,37 @@
 package org.pomelohollow.daemon;
 
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.ByteArrayInputStream;
 import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublishers;
 import java.net.http.HttpResponse;
 import java.net.http.HttpResponse.BodyHandlers;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.List;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
+import org.pomelohollow.standin.target.Payload;
+import org.pomelohollow.standin.target.TargetFaults;
 
 class PathTest {
+  private static final int MEGABYTE = 1 << 20;
+
   private static Fleet fleet;
 
   @BeforeAll
   static void start() {
-    fleet = new Fleet().add("h1", "a", "front").add("h2", "b", "back");
+    fleet = new Fleet().add("h1", "a", "front", "/back/below").add("h2", "b", "back");
     fleet.publish("c1", 0, Fleet.document(Fleet.service("front") + Fleet.service("back")));
-    Fleet.await("a call through two daemons", () -> status("/back/x") == 200);
+    Fleet.await("calls reach both", () -> status("/back/x") == 200 && status("/front/x") == 200);
   }
 
   @AfterAll
@@ -27,28 +40,219 @@
   }
 
   @Test
-  void aCallPassesTwoDaemons() throws Exception {
+  void aCallPassesTwoDaemonsWithoutTheKey() throws Exception {
     HttpResponse<String> r =
-        Fleet.client()
-            .send(
-                Fleet.request(fleet.daemon(0), "/back/echo?q=1&q=2").build(),
-                BodyHandlers.ofString());
+        send(
+            Fleet.request(fleet.daemon(0), "/back/echo?q=1&q=a%20b%2Fc")
+                .header("Twice", "one")
+                .header("Twice", "two")
+                .header("Pomelo-Request-Id", "forged")
+                .header("Proxy-Connection", "keep-alive"));
     assertEquals(200, r.statusCode());
-    assertTrue(r.body().startsWith("GET /back/echo?q=1&q=2\n"), r.body());
-    assertEquals("ran", r.headers().firstValue("Pomelo-Verdict").orElseThrow());
+    assertTrue(r.body().startsWith("GET /back/echo?q=1&q=a%20b%2Fc\n"), r.body());
+    assertTrue(r.body().contains("Twice: one\nTwice: two\n"), r.body());
     assertFalse(r.body().contains(Fleet.KEY), r.body());
+    assertFalse(r.body().contains("forged"), r.body());
+    assertFalse(r.body().contains("Proxy-Connection"), r.body());
+    assertEquals(List.of("one", "two"), r.headers().allValues("Echo-Twice"));
+    assertEquals("ran", r.headers().firstValue("Pomelo-Verdict").orElseThrow());
   }
 
-  private static int status(String path) {
+  @Test
+  void anEntryGuardsItsOwnTargetWithoutALink() throws Exception {
+    assertEquals(200, send(Fleet.request(fleet.daemon(0), "/front/x")).statusCode());
+  }
+
+  @Test
+  void headHasALengthAndNoBody() throws Exception {
+    HttpResponse<String> r =
+        send(
+            Fleet.request(fleet.daemon(0), "/back/x?bytes=5000")
+                .method("HEAD", BodyPublishers.noBody()));
+    assertEquals(200, r.statusCode());
+    assertEquals("5000", r.headers().firstValue("Content-Length").orElseThrow());
+    assertEquals("", r.body());
+  }
+
+  @Test
+  void statusesComeThrough() throws Exception {
+    for (int s : new int[] {204, 304, 404, 418, 500}) {
+      HttpResponse<String> r = send(Fleet.request(fleet.daemon(0), "/back/x?status=" + s));
+      assertEquals(s, r.statusCode());
+      assertEquals("ran", r.headers().firstValue("Pomelo-Verdict").orElseThrow());
+    }
+  }
+
+  @Test
+  void emptyShortAndChunkedBodiesComeThrough() throws Exception {
+    byte[] shortBody = "sleepers".getBytes(StandardCharsets.UTF_8);
+    assertTrue(echo(BodyPublishers.noBody()).endsWith("\n\n"));
+    assertTrue(echo(BodyPublishers.ofByteArray(shortBody)).endsWith("\n\nsleepers"));
+    String chunked = echo(BodyPublishers.ofInputStream(() -> new ByteArrayInputStream(shortBody)));
+    assertTrue(chunked.endsWith("\n\nsleepers"), chunked);
+  }
+
+  @Test
+  void aLargeUploadComesThroughUnchanged() throws Exception {
+    byte[] body = payload(3 * MEGABYTE);
+    HttpResponse<byte[]> r =
+        Fleet.client()
+            .send(
+                Fleet.request(fleet.daemon(0), "/back/echo")
+                    .POST(BodyPublishers.ofByteArray(body))
+                    .build(),
+                BodyHandlers.ofByteArray());
+    byte[] got = r.body();
+    assertArrayEquals(body, Arrays.copyOfRange(got, got.length - body.length, got.length));
+  }
+
+  @Test
+  void largeAnswersComeThroughUnchanged() throws Exception {
+    for (String query : List.of("bytes=8388608", "bytes=8388608&chunked=1")) {
+      HttpResponse<byte[]> r =
+          Fleet.client()
+              .send(
+                  Fleet.request(fleet.daemon(0), "/back/x?" + query).build(),
+                  BodyHandlers.ofByteArray());
+      assertArrayEquals(payload(8 * MEGABYTE), r.body());
+    }
+  }
+
+  @Test
+  void anAnswerCutShortIsNeverComplete() {
+    for (String query : List.of("bytes=3000000", "bytes=3000000&chunked=1")) {
+      fleet.target(1).setFaults(TargetFaults.NONE.withCutsAnswers(true));
+      try {
+        assertThrows(
+            IOException.class, () -> send(Fleet.request(fleet.daemon(0), "/back/x?" + query)));
+      } finally {
+        fleet.target(1).setFaults(TargetFaults.NONE);
+      }
+    }
+  }
+
+  @Test
+  void aTargetsRefusalInItsContractsFormIsNotRun() throws Exception {
+    fleet.target(1).setFaults(TargetFaults.NONE.withSheds(true));
     try {
-      return Fleet.client()
-          .send(Fleet.request(fleet.daemon(0), path).build(), BodyHandlers.discarding())
-          .statusCode();
-    } catch (IOException e) {
-      return 0;
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-      return 0;
+      HttpResponse<String> r =
+          send(Fleet.request(fleet.daemon(0), "/back/x").POST(BodyPublishers.noBody()));
+      assertEquals(503, r.statusCode());
+      assertEquals("not-run", r.headers().firstValue("Pomelo-Verdict").orElseThrow());
+    } finally {
+      fleet.target(1).setFaults(TargetFaults.NONE);
     }
   }
+
+  @Test
+  void aTargetsOwnCallEntersByItsDaemon() throws Exception {
+    long before = fleet.target(1).counts().completed();
+    HttpResponse<String> r = send(Fleet.request(fleet.daemon(0), "/front/chain"));
+    assertEquals(200, r.statusCode());
+    assertEquals(before + 1, fleet.target(1).counts().completed());
+  }
+
+  @Test
+  void anOutboundCallOfNoRunningRequestIsRefused() throws Exception {
+    HttpRequest r =
+        HttpRequest.newBuilder(
+                URI.create("http://" + fleet.daemon(0).targetAddress() + "/back/below"))
+            .header("Pomelo-Request-Id", "no-such-request")
+            .build();
+    HttpResponse<String> a = Fleet.client().send(r, BodyHandlers.ofString());
+    assertEquals(403, a.statusCode());
+    assertEquals("PH-1503", a.headers().firstValue("Pomelo-Error").orElseThrow());
+  }
+
+  @Test
+  void missingMalformedAndUnknownKeysLookTheSame() throws Exception {
+    String first = null;
+    for (String key : List.of("", "Basic abc", "Bearer", "Bearer unknown")) {
+      HttpRequest.Builder b =
+          HttpRequest.newBuilder(
+              URI.create("http://" + fleet.daemon(0).callerAddress() + "/back/x"));
+      if (!key.isEmpty()) {
+        b.header("Authorization", key);
+      }
+      HttpResponse<String> r = send(b);
+      assertEquals(401, r.statusCode());
+      String seen = r.body().replaceAll("\"requestId\":\"[^\"]*\"", "");
+      first = first == null ? seen : first;
+      assertEquals(first, seen);
+    }
+  }
+
+  @Test
+  void anUnknownRouteIsNotRun() throws Exception {
+    HttpResponse<String> r = send(Fleet.request(fleet.daemon(0), "/nowhere"));
+    assertEquals(404, r.statusCode());
+    assertEquals("not-run", r.headers().firstValue("Pomelo-Verdict").orElseThrow());
+  }
+
+  @Test
+  void malformedRequestsGetAnErrorAndDisturbNobody() throws Exception {
+    for (String bad :
+        List.of(
+            "nonsense\r\n\r\n",
+            "GET /back/x HTTP/1.1\r\nHost: a\r\nContent-Length: -1\r\n\r\n",
+            "POST /back/x HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n",
+            "GET /back/x HTTP/1.1\r\nHost: a\r\nbad header: x\r\n\r\n",
+            "GET /back/x HTTP/1.1\r\nHost: a\r\nPomelo-Timeout-Ms: soon\r\n"
+                + "Connection: close\r\n\r\n")) {
+      try (RawCaller c = new RawCaller(fleet.daemon(0).callerAddress())) {
+        assertTrue(c.write(bad).readHead().startsWith("HTTP/1.1 400 "), bad);
+      }
+    }
+    assertEquals(200, status("/back/x"));
+  }
+
+  @Test
+  void headsAndBodiesOverTheirBoundsAreRefused() throws Exception {
+    try (RawCaller c = new RawCaller(fleet.daemon(0).callerAddress())) {
+      String head = "GET /back/x HTTP/1.1\r\nHost: a\r\nLong: " + "x".repeat(40_000) + "\r\n\r\n";
+      String answer = c.write(head).readHead();
+      assertTrue(answer.startsWith("HTTP/1.1 431 ") || answer.startsWith("HTTP/1.1 413 "), answer);
+    }
+    try (RawCaller c = new RawCaller(fleet.daemon(0).callerAddress())) {
+      String head = "POST /back/x HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999999\r\n\r\n";
+      assertTrue(c.write(head).readHead().startsWith("HTTP/1.1 413 "));
+    }
+  }
+
+  @Test
+  void aCallerThatLeavesCancelsItsRequest() throws Exception {
+    fleet.target(1).setFaults(TargetFaults.NONE.withSlowdown(20_000));
+    long before = fleet.target(1).counts().cancelled();
+    try (RawCaller c = new RawCaller(fleet.daemon(0).callerAddress())) {
+      long started = fleet.target(1).counts().started();
+      c.write("GET /back/x HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer " + Fleet.KEY + "\r\n\r\n");
+      Fleet.await("request runs", () -> fleet.target(1).counts().started() > started);
+    } finally {
+      fleet.target(1).setFaults(TargetFaults.NONE);
+    }
+    Fleet.await("request is cancelled", () -> fleet.target(1).counts().cancelled() > before);
+  }
+
+  private static String echo(HttpRequest.BodyPublisher body) throws Exception {
+    HttpResponse<String> r = send(Fleet.request(fleet.daemon(0), "/back/echo").POST(body));
+    assertEquals(200, r.statusCode());
+    return r.body();
+  }
+
+  private static HttpResponse<String> send(HttpRequest.Builder b)
+      throws IOException, InterruptedException {
+    return Fleet.client().send(b.build(), BodyHandlers.ofString());
+  }
+
+  private static byte[] payload(int n) {
+    byte[] b = new byte[n];
+    for (int i = 0; i < n; i++) {
+      b[i] = Payload.at(i);
+    }
+    return b;
+  }
+
+  private static int status(String path) {
+    return Fleet.status(fleet.daemon(0), path);
+  }
 }
