Track the package of the target's stand-in

Cause: the ignore rule for build output also matched the package named target, so a fresh clone did not build.

--- /dev/null
+++ b/org.pomelohollow.standin/src/main/java/org/pomelohollow/standin/target/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in for a target, with faults on request. */
+package org.pomelohollow.standin.target;
