Check the document wholly and bound its size

A malformed escape made the TOML parser throw, and deep nesting overflowed the stack.

Change: one reader per kind of entry; bounds on characters, nesting, entries and problems; names in ASCII; `zones` of a service, checked but not enforced; problems in the order of the file. Parser failures become problems.

Conclusion: any text is read or rejected, the same at every daemon.

--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/document/PathPattern.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/document/PathPattern.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Objects;
+import java.util.regex.Pattern;
 import org.pomelohollow.errors.ErrorCode;
 import org.pomelohollow.errors.PomelohollowException;
 
@@ -12,6 +13,11 @@
  */
 public final class PathPattern implements Comparable<PathPattern> {
   private static final String REST = "**";
+  private static final int MAX_LENGTH = 512;
+
+  /** Characters of a segment, percent-encoded ones included, other than dot segments. */
+  private static final Pattern LITERAL =
+      Pattern.compile("(?!\\.\\.?$)[A-Za-z0-9._~!$&'()+,;=:@%-]*");
 
   private final String text;
   private final List<String> segments;
@@ -35,6 +41,12 @@
     if (!text.startsWith("/")) {
       throw malformed(text, "does not start with a slash");
     }
+    if (text.length() > MAX_LENGTH) {
+      throw malformed(text.substring(0, MAX_LENGTH), "is longer than " + MAX_LENGTH);
+    }
+    if (text.contains("//")) {
+      throw malformed(text, "has an empty segment");
+    }
     List<String> parts = split(text);
     boolean open = parts.get(parts.size() - 1).equals(REST);
     List<String> fixed = open ? parts.subList(0, parts.size() - 1) : parts;
@@ -144,6 +156,9 @@
     if (segment.indexOf('*') >= 0) {
       throw malformed(text, "has " + REST + " before its end");
     }
+    if (!braces && !LITERAL.matcher(segment).matches()) {
+      throw malformed(text, "has a segment \"" + segment + "\" that no path has");
+    }
   }
 
   private static PomelohollowException malformed(String text, String why) {
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/document/ServiceEntry.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/document/ServiceEntry.java
@@ -1,7 +1,9 @@
 package org.pomelohollow.document;
 
 import java.util.Objects;
+import java.util.Set;
 import org.pomelohollow.model.ServiceId;
+import org.pomelohollow.model.ZoneId;
 
 /**
  * A service and the bounds of each of its targets.
@@ -10,8 +12,10 @@
  * @param slots most requests in flight at one target
  * @param connections most connections to one target
  * @param coldStartSlots most requests in flight at a target in cold start
+ * @param zones zones that its targets are expected in, empty if any; only checked, not enforced
  */
-public record ServiceEntry(ServiceId id, int slots, int connections, int coldStartSlots) {
+public record ServiceEntry(
+    ServiceId id, int slots, int connections, int coldStartSlots, Set<ZoneId> zones) {
   /** Highest bound per target. */
   public static final int MAX_SLOTS = 100_000;
 
@@ -21,5 +25,18 @@
     Ranges.check("slots", slots, 1, MAX_SLOTS);
     Ranges.check("connections", connections, 1, MAX_SLOTS);
     Ranges.check("cold_start_slots", coldStartSlots, 1, slots);
+    zones = Set.copyOf(zones);
+  }
+
+  /**
+   * Creates a service whose targets may be in any zone.
+   *
+   * @param id name
+   * @param slots most requests in flight at one target
+   * @param connections most connections to one target
+   * @param coldStartSlots most requests in flight at a target in cold start
+   */
+  public ServiceEntry(ServiceId id, int slots, int connections, int coldStartSlots) {
+    this(id, slots, connections, coldStartSlots, Set.of());
   }
 }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/document/TomlFile.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/document/TomlFile.java
@@ -1,6 +1,7 @@
 package org.pomelohollow.document;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Function;
@@ -11,6 +12,11 @@
 
 /** Reads a TOML text into a value and reports every mistake at once. */
 public final class TomlFile {
+  /** Longest text, in characters. */
+  public static final int MAX_LENGTH = 1 << 19;
+
+  private static final int MAX_NESTING = 16;
+
   private TomlFile() {}
 
   /**
@@ -24,17 +30,60 @@
    */
   public static <T> Parsed<T> read(
       String file, String text, Function<TomlSection, Optional<T>> construction) {
-    TomlParseResult result = Toml.parse(text);
-    List<Problem> problems = new ArrayList<>();
-    for (TomlParseError e : result.errors()) {
-      problems.add(
-          new Problem(file, "", e.position().line(), ErrorCode.TOML_SYNTAX, e.getMessage()));
+    Optional<String> tooLarge = checkSize(text);
+    if (tooLarge.isPresent()) {
+      return failure(new Problem(file, "", 0, ErrorCode.TOML_OUT_OF_RANGE, tooLarge.get()));
+    }
+    return parse(text)
+        .map(result -> build(file, result, construction))
+        .orElseGet(
+            () -> failure(new Problem(file, "", 0, ErrorCode.TOML_SYNTAX, "cannot be parsed")));
+  }
+
+  /**
+   * Parses a text. The parser reports most mistakes, but fails on some malformed escapes, and on
+   * malformed texts whose nesting {@link TomlNesting} cannot tell.
+   */
+  private static Optional<TomlParseResult> parse(String text) {
+    try {
+      return Optional.of(Toml.parse(text));
+    } catch (RuntimeException | AssertionError | StackOverflowError e) {
+      return Optional.empty();
     }
+  }
+
+  private static Optional<String> checkSize(String text) {
+    if (text.length() > MAX_LENGTH) {
+      return Optional.of("has " + text.length() + " characters, more than " + MAX_LENGTH);
+    }
+    if (TomlNesting.depth(text) > MAX_NESTING) {
+      return Optional.of("is nested more than " + MAX_NESTING + " deep");
+    }
+    return Optional.empty();
+  }
+
+  private static <T> Parsed<T> build(
+      String file, TomlParseResult result, Function<TomlSection, Optional<T>> construction) {
+    List<Problem> problems = new ArrayList<>();
+    result.errors().stream()
+        .limit(TomlSection.MAX_PROBLEMS)
+        .forEach(e -> problems.add(syntaxProblem(file, e)));
     if (!problems.isEmpty()) {
       return new Parsed<>(Optional.empty(), problems);
     }
-    TomlSection top = new TomlSection(file, "", 0, result, problems);
-    Optional<T> value = construction.apply(top);
+    Optional<T> value = construction.apply(new TomlSection(file, "", 0, result, problems));
+    problems.sort(Comparator.comparingInt(Problem::line));
     return new Parsed<>(problems.isEmpty() ? value : Optional.empty(), problems);
   }
+
+  private static Problem syntaxProblem(String file, TomlParseError e) {
+    String message = String.valueOf(e.getMessage());
+    boolean duplicate = message.contains("previously defined") || message.contains("already");
+    ErrorCode code = duplicate ? ErrorCode.DOCUMENT_DUPLICATE : ErrorCode.TOML_SYNTAX;
+    return new Problem(file, "", e.position().line(), code, TomlSection.clip(message));
+  }
+
+  private static <T> Parsed<T> failure(Problem p) {
+    return new Parsed<>(Optional.empty(), List.of(p));
+  }
 }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/document/TomlSection.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/document/TomlSection.java
@@ -6,8 +6,10 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import org.pomelohollow.errors.ErrorCode;
 import org.pomelohollow.errors.PomelohollowException;
+import org.pomelohollow.model.Names;
 import org.tomlj.TomlArray;
 import org.tomlj.TomlPosition;
 import org.tomlj.TomlTable;
@@ -17,6 +19,11 @@
  * returns its fallback. Keys that no getter asked for are reported by {@link #rejectUnknownKeys()}.
  */
 public final class TomlSection {
+  /** Most problems that are kept of one file. */
+  static final int MAX_PROBLEMS = 1_000;
+
+  private static final int MAX_MESSAGE = 200;
+
   private final String file;
   private final String path;
   private final int line;
@@ -86,6 +93,26 @@
         .flatMap(s -> attempt(key, () -> conversion.apply(s)));
   }
 
+  /**
+   * Reads an optional name, well formed by {@link Names#isValid}.
+   *
+   * @param key key in this table
+   * @return the name, if present and valid
+   */
+  public Optional<String> name(String key) {
+    return optionalString(key).filter(n -> isName(key, n));
+  }
+
+  /**
+   * Reads an array of names, each well formed by {@link Names#isValid}.
+   *
+   * @param key key in this table
+   * @return the valid names, empty if absent or wrong
+   */
+  public List<String> names(String key) {
+    return strings(key).stream().filter(n -> isName(key, n)).toList();
+  }
+
   /**
    * Reads an optional whole number.
    *
@@ -168,7 +195,10 @@
       if (o instanceof String s) {
         out.add(s);
       } else {
-        report(key, ErrorCode.TOML_WRONG_TYPE, "holds " + o + ", which is not a string");
+        report(
+            key,
+            ErrorCode.TOML_WRONG_TYPE,
+            "holds " + clip(String.valueOf(o)) + ", which is not a string");
       }
     }
     return out;
@@ -201,6 +231,21 @@
     return out;
   }
 
+  /** Opens every table below a table, up to a number of them. */
+  List<NamedSection> sections(String key, int max) {
+    return bounded(key, sections(key), max);
+  }
+
+  /** Opens an array of tables, up to a number of them. */
+  List<TomlSection> tables(String key, int max) {
+    return bounded(key, tables(key), max);
+  }
+
+  /** Tells whether a table below this one has a key, valid or not. */
+  boolean defines(String table, String name) {
+    return value(table) instanceof TomlTable t && t.contains(List.of(name));
+  }
+
   /**
    * Opens an array of tables, such as {@code [[routes]]}.
    *
@@ -240,7 +285,7 @@
    * @param construction construction that throws {@link PomelohollowException} on bad input
    * @return the value, if valid
    */
-  public <T> Optional<T> attempt(String key, java.util.function.Supplier<T> construction) {
+  public <T> Optional<T> attempt(String key, Supplier<T> construction) {
     try {
       return Optional.of(construction.get());
     } catch (PomelohollowException e) {
@@ -257,7 +302,9 @@
    * @param message what is wrong
    */
   public void report(String key, ErrorCode code, String message) {
-    problems.add(new Problem(file, dotted(key), lineOf(key), code, message));
+    if (problems.size() < MAX_PROBLEMS) {
+      problems.add(new Problem(file, clip(dotted(key)), lineOf(key), code, clip(message)));
+    }
   }
 
   /** Returns the number of mistakes reported so far in the whole file. */
@@ -265,6 +312,26 @@
     return problems.size();
   }
 
+  static String clip(String s) {
+    return s.length() <= MAX_MESSAGE ? s : s.substring(0, MAX_MESSAGE) + "...";
+  }
+
+  private <T> List<T> bounded(String key, List<T> all, int max) {
+    if (all.size() <= max) {
+      return all;
+    }
+    report(key, ErrorCode.TOML_OUT_OF_RANGE, "has " + all.size() + " entries, more than " + max);
+    return all.subList(0, max);
+  }
+
+  private boolean isName(String key, String name) {
+    if (!Names.isValid(name)) {
+      report(key, ErrorCode.TOML_OUT_OF_RANGE, "name \"" + clip(name) + "\" is not well formed");
+      return false;
+    }
+    return true;
+  }
+
   private TomlSection child(String key, TomlTable t, int at) {
     return new TomlSection(file, dotted(key), at, t, problems);
   }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/model/Names.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/model/Names.java
@@ -11,8 +11,8 @@
   private Names() {}
 
   /**
-   * Tells whether a name is well formed: 1 to {@value #MAX_LENGTH} letters, digits, dots, hyphens
-   * and underscores.
+   * Tells whether a name is well formed: 1 to {@value #MAX_LENGTH} ASCII letters, digits, dots,
+   * hyphens and underscores.
    *
    * @param name candidate, may be null
    * @return true if well formed
@@ -36,6 +36,8 @@
   }
 
   private static boolean isNameCharacter(int c) {
-    return Character.isLetterOrDigit(c) || c == '-' || c == '_' || c == '.';
+    boolean letter = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
+    boolean digit = c >= '0' && c <= '9';
+    return letter || digit || c == '-' || c == '_' || c == '.';
   }
 }
