Add the demo and tests of the built binary

Cause: nothing showed the whole path as separate processes. Change: the demo starts 6 daemons and 6 targets as processes, drives reads, reservations with resends, chains, a 200 MB pack, an account over its rate, a withdrawn key, a zone out and back, a killed target and a restarted daemon, and ends with a table of what was seen; a test starts the built binary.

--- a/org.pomelohollow.pgm/src/main/java/org/pomelohollow/pgm/Main.java
+++ b/org.pomelohollow.pgm/src/main/java/org/pomelohollow/pgm/Main.java
@@ -15,7 +15,12 @@
   private static final String HELP = "help";
 
   private final List<Command> commands =
-      List.of(new DaemonCommand(), new DumpCommand(), new LogCommand(), new TargetCommand());
+      List.of(
+          new DaemonCommand(),
+          new DemoCommand(),
+          new DumpCommand(),
+          new LogCommand(),
+          new TargetCommand());
 
   private Main() {}
 
--- a/org.pomelohollow.standin/src/main/java/org/pomelohollow/standin/target/TargetCounts.java
+++ b/org.pomelohollow.standin/src/main/java/org/pomelohollow/standin/target/TargetCounts.java
@@ -117,6 +117,11 @@
     return runsByMark.values().stream().mapToInt(i -> i).max().orElse(0);
   }
 
+  /** Returns the number of runs of all marks. */
+  public synchronized int runsOfMarks() {
+    return runsByMark.values().stream().mapToInt(i -> i).sum();
+  }
+
   /** Returns the counts as lines of name and value. */
   public synchronized String describe() {
     return "started "
@@ -141,6 +146,8 @@
         + sawKey
         + "\nmost_runs_of_one_mark "
         + mostRunsOfOneMark()
+        + "\nruns_of_marks "
+        + runsOfMarks()
         + "\n";
   }
 }
