Claim non-idempotent requests before they run

Cause: a resend of a non-idempotent request with the same idempotency key was run again by whichever target it reached.

Change: the daemon of a target runs such a request only after a majority of the key's three witnesses has recorded the claim. Witnesses come from a ring that changes by records in the log stream "claims"; new ones fetch claims from a majority of the old before they grant. Resends get the recorded answer, in progress, or may-have-run; another body gets 422. Refusals that every target would repeat are not tried again.

--- a/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/attempt/Fixture.java
+++ b/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/attempt/Fixture.java
@@ -60,7 +60,7 @@
         new FilterChain(
             List.of(
                 new RouteFilter(() -> Optional.of(document())),
-                new DeadlineFilter(s.rootAllowance(), running, timers),
+                new DeadlineFilter(s.rootAllowance(), Long.MAX_VALUE, running, timers),
                 new AttemptFilter(parts)));
   }
 
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/Node.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/Node.java
@@ -12,8 +12,12 @@
 import org.pomelohollow.decision.attempt.AttemptTransport;
 import org.pomelohollow.decision.attempt.RetryBudgets;
 import org.pomelohollow.decision.attempt.RetrySettings;
+import org.pomelohollow.decision.claim.ClaimController;
+import org.pomelohollow.decision.claim.ClaimFilter;
+import org.pomelohollow.decision.claim.ClaimSettings;
 import org.pomelohollow.decision.config.ConfigController;
 import org.pomelohollow.decision.guard.Guard;
+import org.pomelohollow.decision.guard.RunningCalls;
 import org.pomelohollow.decision.membership.MembershipController;
 import org.pomelohollow.decision.quota.QuotaController;
 import org.pomelohollow.decision.request.DeadlineFilter;
@@ -35,6 +39,7 @@
   private final ConfigController config;
   private final MembershipController membership;
   private final AdmissionController admission;
+  private final ClaimController claims;
   private final Guard guard;
   private final List<Controller> controllers;
   private final FilterChain chain;
@@ -61,7 +66,8 @@
     this.membership = new MembershipController(setup.self(), setup.seeds(), config, effects);
     this.admission = new AdmissionController();
     Router router = new Router(random);
-    this.guard = new Guard(admission);
+    this.claims = new ClaimController(setup.self().id(), ClaimSettings.DEFAULT, effects);
+    this.guard = new Guard(new Guard.Parts(admission, claims, new RunningCalls(), clock));
     Timers timers = new Timers();
     RetrySettings retries = RetrySettings.DEFAULT;
     AttemptFilter attempts =
@@ -76,14 +82,19 @@
                 new RetryBudgets(retries.ratio(), retries.burst())));
     QuotaController quota = new QuotaController();
     KeyFilter keys = new KeyFilter();
-    this.controllers = List.of(timers, config, keys, quota, router, admission, membership);
+    this.controllers = List.of(timers, config, keys, quota, router, admission, claims, membership);
     this.chain =
         new FilterChain(
             List.of(
                 new RouteFilter(config::inForce),
                 new StalenessFilter(config::isStale),
                 keys,
-                new DeadlineFilter(retries.rootAllowance(), guard.running(), timers),
+                new DeadlineFilter(
+                    retries.rootAllowance(),
+                    claims.settings().windowNanos() / 4,
+                    guard.running(),
+                    timers),
+                new ClaimFilter(),
                 new QuotaFilter(quota),
                 attempts));
   }
@@ -127,6 +138,11 @@
     return guard;
   }
 
+  /** Returns the claims of non-idempotent requests. */
+  public ClaimController claims() {
+    return claims;
+  }
+
   /** Returns the configuration's controller. */
   public ConfigController config() {
     return config;
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/attempt/Attempts.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/attempt/Attempts.java
@@ -66,7 +66,7 @@
     if (x.hasEnded()) {
       return;
     }
-    boolean repeatable = v.isSafeToRepeat() || x.context().idempotent();
+    boolean repeatable = !isSameElsewhere(v) && (v.isSafeToRepeat() || x.context().idempotent());
     if (!repeatable || !spend(v)) {
       x.refuse(v);
       return;
@@ -121,6 +121,15 @@
         };
   }
 
+  /** Tells whether every other target would refuse for the same reason. */
+  private static boolean isSameElsewhere(Verdict v) {
+    return v instanceof Verdict.NotRun n
+        && switch (n.code()) {
+          case DEADLINE_EXCEEDED, QUARANTINED, CLAIM_MISMATCH, CLAIMS_FULL -> true;
+          default -> false;
+        };
+  }
+
   private long now() {
     return parts.clock().getAsLong();
   }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/guard/Guard.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/guard/Guard.java
@@ -1,25 +1,26 @@
 package org.pomelohollow.decision.guard;
 
+import java.util.function.LongSupplier;
 import org.pomelohollow.decision.admission.AdmissionController;
+import org.pomelohollow.decision.claim.ClaimController;
 import org.pomelohollow.model.RequestContext;
 
 /** Decides on every request that reaches the daemon of its target. */
 public final class Guard {
-  private final AdmissionController admission;
-  private final RunningCalls running = new RunningCalls();
+  private final Parts parts;
 
   /**
    * Creates a guard.
    *
-   * @param admission admits requests to the target
+   * @param parts what it asks on every request
    */
-  public Guard(AdmissionController admission) {
-    this.admission = admission;
+  public Guard(Parts parts) {
+    this.parts = parts;
   }
 
   /** Returns the requests that run at the target. */
   public RunningCalls running() {
-    return running;
+    return parts.running();
   }
 
   /**
@@ -33,8 +34,22 @@
    */
   public GuardedCall offer(
       RequestContext context, boolean bulk, GuardListener listener, long nowNanos) {
-    GuardedCall c = new GuardedCall(admission, running, context, listener);
+    GuardedCall c = new GuardedCall(parts, context, listener);
     c.admit(bulk, nowNanos);
     return c;
   }
+
+  /**
+   * What a guard asks on every request.
+   *
+   * @param admission admits requests to the target
+   * @param claims claims non-idempotent requests
+   * @param running requests at the target
+   * @param clock monotonic time, in nanoseconds
+   */
+  public record Parts(
+      AdmissionController admission,
+      ClaimController claims,
+      RunningCalls running,
+      LongSupplier clock) {}
 }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/guard/GuardedCall.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/guard/GuardedCall.java
@@ -1,31 +1,34 @@
 package org.pomelohollow.decision.guard;
 
 import java.util.Optional;
-import org.pomelohollow.decision.admission.AdmissionController;
 import org.pomelohollow.decision.admission.AdmissionListener;
 import org.pomelohollow.decision.admission.Completion;
 import org.pomelohollow.decision.admission.Ticket;
+import org.pomelohollow.decision.claim.ClaimAnswer;
+import org.pomelohollow.decision.claim.ClaimId;
+import org.pomelohollow.decision.claim.ClaimKey;
+import org.pomelohollow.decision.claim.ClaimRecord;
+import org.pomelohollow.decision.claim.ClaimState;
+import org.pomelohollow.errors.ErrorCode;
 import org.pomelohollow.model.RequestContext;
 import org.pomelohollow.model.Verdict;
 
 /** A request at the daemon of its target, from its arrival to its end. */
 public final class GuardedCall {
-  private final AdmissionController admission;
-  private final RunningCalls running;
+  private final Guard.Parts parts;
   private final RequestContext context;
   private final GuardListener listener;
+  private final Optional<ClaimKey> key;
+  private State state = State.QUEUED;
   private Optional<Ticket> ticket = Optional.empty();
-  private boolean runs;
-
-  GuardedCall(
-      AdmissionController admission,
-      RunningCalls running,
-      RequestContext context,
-      GuardListener listener) {
-    this.admission = admission;
-    this.running = running;
+  private Optional<Completion> endedEarly = Optional.empty();
+  private Optional<ClaimId> claim = Optional.empty();
+
+  GuardedCall(Guard.Parts parts, RequestContext context, GuardListener listener) {
+    this.parts = parts;
     this.context = context;
     this.listener = listener;
+    this.key = ClaimKey.of(context);
   }
 
   /** Returns the request. */
@@ -35,23 +38,24 @@
 
   /** Returns whether the answer is wanted at {@link #completed}, for resends. */
   public boolean recordsAnswer() {
-    return false;
+    return key.isPresent();
   }
 
   /**
-   * Tells that a request that was handed to the target has ended.
+   * Tells that a request that was handed to the target has ended. Later calls do nothing.
    *
    * @param completion how it ended
    * @param answer the whole answer, if it is wanted and came within the bound on recorded answers
    * @param nowNanos current monotonic time, in nanoseconds
    */
   public void completed(Completion completion, Optional<RecordedAnswer> answer, long nowNanos) {
-    if (!runs) {
+    if (state != State.RUNNING) {
       return;
     }
-    runs = false;
-    running.ended(context);
-    ticket.ifPresent(t -> admission.complete(t, completion, nowNanos));
+    state = State.ENDED;
+    parts.running().ended(context);
+    claim.ifPresent(id -> parts.claims().ended(id, stateAfter(completion), answer, nowNanos));
+    leave(completion, nowNanos);
   }
 
   /**
@@ -61,7 +65,14 @@
    * @param nowNanos current monotonic time, in nanoseconds
    */
   public void cancel(long nowNanos) {
-    ticket.ifPresent(admission::cancel);
+    if (state == State.QUEUED) {
+      state = State.ENDED;
+      ticket.ifPresent(parts.admission()::cancel);
+    } else if (state == State.CLAIMING) {
+      state = State.ENDED;
+      claim.ifPresent(id -> parts.claims().cancel(id, nowNanos));
+      leave(Completion.CANCELLED, nowNanos);
+    }
   }
 
   void admit(boolean bulk, long nowNanos) {
@@ -69,16 +80,84 @@
         new AdmissionListener() {
           @Override
           public void admitted() {
-            runs = true;
-            running.started(context);
-            listener.run();
+            claimOrRun();
           }
 
           @Override
           public void refused(Verdict.NotRun verdict) {
+            state = State.ENDED;
             listener.refused(verdict);
           }
         };
-    ticket = Optional.of(admission.offer(context, bulk, l, nowNanos));
+    Ticket t = parts.admission().offer(context, bulk, l, nowNanos);
+    ticket = Optional.of(t);
+    endedEarly.ifPresent(c -> parts.admission().complete(t, c, nowNanos));
+  }
+
+  private void claimOrRun() {
+    if (key.isEmpty()) {
+      run();
+      return;
+    }
+    state = State.CLAIMING;
+    ClaimId id = parts.claims().claim(context, key.get(), this::claimed, parts.clock().getAsLong());
+    claim = Optional.of(id);
+  }
+
+  private void claimed(ClaimAnswer a) {
+    if (a instanceof ClaimAnswer.Granted g) {
+      claim = Optional.of(g.id());
+      run();
+      return;
+    }
+    state = State.ENDED;
+    leave(Completion.CANCELLED, parts.clock().getAsLong());
+    if (a instanceof ClaimAnswer.Taken t) {
+      tell(t.claim(), t.executorAlive());
+    } else if (a instanceof ClaimAnswer.Refused r) {
+      listener.refused(new Verdict.NotRun(r.code()));
+    }
+  }
+
+  private void run() {
+    state = State.RUNNING;
+    parts.running().started(context);
+    listener.run();
+  }
+
+  private void tell(ClaimRecord c, boolean executorAlive) {
+    if (c.fingerprint() != context.fingerprint()) {
+      listener.refused(new Verdict.NotRun(ErrorCode.CLAIM_MISMATCH));
+    } else if (c.answer().isPresent()) {
+      listener.replay(c.answer().get());
+    } else if (c.state() == ClaimState.RUNNING && executorAlive) {
+      listener.refused(new Verdict.MayHaveRun(ErrorCode.CLAIM_IN_PROGRESS));
+    } else {
+      listener.refused(new Verdict.MayHaveRun(ErrorCode.CLAIM_OUTCOME_UNKNOWN));
+    }
+  }
+
+  /** Gives the slot back, also while admission is still handing out the ticket. */
+  private void leave(Completion c, long nowNanos) {
+    if (ticket.isPresent()) {
+      parts.admission().complete(ticket.get(), c, nowNanos);
+    } else {
+      endedEarly = Optional.of(c);
+    }
+  }
+
+  private static ClaimState stateAfter(Completion c) {
+    return switch (c) {
+      case ANSWERED -> ClaimState.RAN;
+      case SHED -> ClaimState.RELEASED;
+      default -> ClaimState.UNKNOWN;
+    };
+  }
+
+  private enum State {
+    QUEUED,
+    CLAIMING,
+    RUNNING,
+    ENDED
   }
 }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/request/DeadlineFilter.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/request/DeadlineFilter.java
@@ -13,6 +13,7 @@
  */
 public final class DeadlineFilter implements Filter {
   private final int rootRetryAllowance;
+  private final long maxClaimedNanos;
   private final RunningCalls running;
   private final Timers timers;
 
@@ -20,11 +21,15 @@
    * Creates a filter.
    *
    * @param rootRetryAllowance extra attempts that a root request and all calls below it share
+   * @param maxClaimedNanos longest time for a request that is claimed, in nanoseconds, so that it
+   *     ends well before its claim expires
    * @param running requests that run at this daemon's target, whose calls share their allowance
    * @param timers wakes the filter at deadlines
    */
-  public DeadlineFilter(int rootRetryAllowance, RunningCalls running, Timers timers) {
+  public DeadlineFilter(
+      int rootRetryAllowance, long maxClaimedNanos, RunningCalls running, Timers timers) {
     this.rootRetryAllowance = rootRetryAllowance;
+    this.maxClaimedNanos = maxClaimedNanos;
     this.running = running;
     this.timers = timers;
   }
@@ -79,10 +84,12 @@
         parent.depth() + 1);
   }
 
-  private static long deadline(Exchange x) {
+  private long deadline(Exchange x) {
     long millis =
         Math.min(
             x.head().timeoutMillis().orElse(x.route().timeoutMillis()), x.route().timeoutMillis());
-    return x.arrivedNanos() + TimeUnit.MILLISECONDS.toNanos(millis);
+    long nanos = TimeUnit.MILLISECONDS.toNanos(millis);
+    boolean claimed = !x.route().idempotent() && x.head().idempotencyKey().isPresent();
+    return x.arrivedNanos() + (claimed ? Math.min(nanos, maxClaimedNanos) : nanos);
   }
 }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/message/LogStream.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/message/LogStream.java
@@ -7,7 +7,9 @@
   /** Joins, renewals and leaves of members. */
   MEMBERS("members"),
   /** First grants and reclaims of rate shares. */
-  QUOTA("quota");
+  QUOTA("quota"),
+  /** Which members witness claims. */
+  CLAIMS("claims");
 
   private final String streamName;
 
--- a/org.pomelohollow.wire/src/main/java/org/pomelohollow/wire/WireType.java
+++ b/org.pomelohollow.wire/src/main/java/org/pomelohollow/wire/WireType.java
@@ -1,5 +1,15 @@
 package org.pomelohollow.wire;
 
+import org.pomelohollow.decision.claim.ClaimReply;
+import org.pomelohollow.decision.claim.ClaimReport;
+import org.pomelohollow.decision.claim.ClaimReportAck;
+import org.pomelohollow.decision.claim.ClaimRequest;
+import org.pomelohollow.decision.claim.RingCheckpoint;
+import org.pomelohollow.decision.claim.RingFetch;
+import org.pomelohollow.decision.claim.RingProposal;
+import org.pomelohollow.decision.claim.RingTransfer;
+import org.pomelohollow.decision.claim.ShardFetch;
+import org.pomelohollow.decision.claim.ShardTransfer;
 import org.pomelohollow.decision.config.ConfigCheckpoint;
 import org.pomelohollow.decision.config.ConfigFetch;
 import org.pomelohollow.decision.config.ConfigProposal;
@@ -18,11 +28,21 @@
   REFUSAL(6, Refusal.class),
   LOG_SLICE(7, LogSlice.class),
   HELLO(8, Hello.class),
+  CLAIM_REQUEST(40, ClaimRequest.class),
+  CLAIM_REPLY(41, ClaimReply.class),
+  CLAIM_REPORT(42, ClaimReport.class),
+  CLAIM_REPORT_ACK(43, ClaimReportAck.class),
+  SHARD_FETCH(44, ShardFetch.class),
+  SHARD_TRANSFER(45, ShardTransfer.class),
+  RING_FETCH(46, RingFetch.class),
+  RING_TRANSFER(47, RingTransfer.class),
 
   MEMBER_JOINED(100, MemberJoined.class),
   CONFIG_PROPOSAL(101, ConfigProposal.class),
   CONFIG_CHECKPOINT(110, ConfigCheckpoint.class),
-  CONFIG_RESTORE(111, ConfigRestore.class);
+  CONFIG_RESTORE(111, ConfigRestore.class),
+  RING_PROPOSAL(140, RingProposal.class),
+  RING_CHECKPOINT(141, RingCheckpoint.class);
 
   private final int number;
   private final Class<? extends Record> type;
