Test the store of claims and pauses beyond a request's deadline

Cause: two changed lines of the claim code passed the schedules: the age check at use, hidden by the deadline check, and the merge of two claims on one key.

--- a/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/claim/ClaimWorld.java
+++ b/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/claim/ClaimWorld.java
@@ -125,7 +125,7 @@
         "route",
         Optional.empty(),
         Priority.HIGHEST,
-        now + 5_000 * MS,
+        now + 60_000 * MS,
         false,
         Optional.of(key),
         1,
