Bound account rates over all daemons by leased pieces

Cause: the quota controller gave each daemon 1/N of a rate by its own view of N, so two views of N could add up to more than the rate, and a restart began with a full bucket.

Change: an account is cut into three pieces. The quota stream orders claims of pieces; a holder lends only while its witness acknowledges; borrowers spend loans within a term counted from when they asked.

--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/Node.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/Node.java
@@ -20,6 +20,7 @@
 import org.pomelohollow.decision.guard.RunningCalls;
 import org.pomelohollow.decision.membership.MembershipController;
 import org.pomelohollow.decision.quota.QuotaController;
+import org.pomelohollow.decision.quota.QuotaTerms;
 import org.pomelohollow.decision.request.DeadlineFilter;
 import org.pomelohollow.decision.request.Exchange;
 import org.pomelohollow.decision.request.FilterChain;
@@ -80,7 +81,7 @@
                 random,
                 retries,
                 new RetryBudgets(retries.ratio(), retries.burst())));
-    QuotaController quota = new QuotaController();
+    QuotaController quota = new QuotaController(setup.self().id(), QuotaTerms.standard(), effects);
     KeyFilter keys = new KeyFilter();
     this.controllers = List.of(timers, config, keys, quota, router, admission, claims, membership);
     this.chain =
--- a/org.pomelohollow.wire/src/main/java/org/pomelohollow/wire/WireType.java
+++ b/org.pomelohollow.wire/src/main/java/org/pomelohollow/wire/WireType.java
@@ -17,6 +17,11 @@
 import org.pomelohollow.decision.config.ConfigTransfer;
 import org.pomelohollow.decision.membership.Heartbeat;
 import org.pomelohollow.decision.membership.MemberJoined;
+import org.pomelohollow.decision.quota.LeaseAcknowledgement;
+import org.pomelohollow.decision.quota.LeaseRenewal;
+import org.pomelohollow.decision.quota.LoanAnswer;
+import org.pomelohollow.decision.quota.LoanRequest;
+import org.pomelohollow.decision.quota.PiecesClaimed;
 
 /** Numbers of the message and entry types on the wire. A number is never used again. */
 enum WireType {
@@ -28,6 +33,10 @@
   REFUSAL(6, Refusal.class),
   LOG_SLICE(7, LogSlice.class),
   HELLO(8, Hello.class),
+  LOAN_REQUEST(20, LoanRequest.class),
+  LOAN_ANSWER(21, LoanAnswer.class),
+  LEASE_RENEWAL(22, LeaseRenewal.class),
+  LEASE_ACKNOWLEDGEMENT(23, LeaseAcknowledgement.class),
   CLAIM_REQUEST(40, ClaimRequest.class),
   CLAIM_REPLY(41, ClaimReply.class),
   CLAIM_REPORT(42, ClaimReport.class),
@@ -41,6 +50,7 @@
   CONFIG_PROPOSAL(101, ConfigProposal.class),
   CONFIG_CHECKPOINT(110, ConfigCheckpoint.class),
   CONFIG_RESTORE(111, ConfigRestore.class),
+  PIECES_CLAIMED(120, PiecesClaimed.class),
   RING_PROPOSAL(140, RingProposal.class),
   RING_CHECKPOINT(141, RingCheckpoint.class);
 
--- a/org.pomelohollow.wire/src/test/java/org/pomelohollow/wire/WireCodecTest.java
+++ b/org.pomelohollow.wire/src/test/java/org/pomelohollow/wire/WireCodecTest.java
@@ -2,8 +2,10 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.Arrays;
+import java.util.List;
 import java.util.Optional;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
@@ -13,8 +15,17 @@
 import org.pomelohollow.decision.config.ConfigState;
 import org.pomelohollow.decision.config.ConfigTransfer;
 import org.pomelohollow.decision.membership.Heartbeat;
+import org.pomelohollow.decision.quota.LeaseAcknowledgement;
+import org.pomelohollow.decision.quota.LeaseRenewal;
+import org.pomelohollow.decision.quota.LoanAnswer;
+import org.pomelohollow.decision.quota.LoanRequest;
+import org.pomelohollow.decision.quota.Piece;
+import org.pomelohollow.decision.quota.PieceClaim;
+import org.pomelohollow.decision.quota.PiecesClaimed;
 import org.pomelohollow.errors.ErrorCode;
 import org.pomelohollow.errors.PomelohollowException;
+import org.pomelohollow.message.PeerMessage;
+import org.pomelohollow.model.AccountId;
 import org.pomelohollow.model.Endpoint;
 import org.pomelohollow.model.Member;
 import org.pomelohollow.model.MemberId;
@@ -55,6 +66,30 @@
     assertEquals(ErrorCode.WIRE_MALFORMED, e.code());
   }
 
+  @Example
+  void quotaMessagesComeBackAndAreSmall() {
+    Piece p = new Piece(new AccountId("account-0123"), 2);
+    MemberId m = new MemberId("host-0123", 1_764_000_000_000L);
+    assertSmall(new LeaseRenewal(1_000_000), 16);
+    assertSmall(new LeaseAcknowledgement(1_000_000), 16);
+    assertSmall(new LoanRequest(p, 1_000_000, 1.5, 20.25, 3.125, 0.1, 750_000_000L), 80);
+    assertSmall(new LoanAnswer(p, 1_000_000, 3.125, 20.25, 40.1, 12, true, Optional.of(m)), 80);
+    PieceClaim c = new PieceClaim(p, m, Optional.of(m), PieceClaim.Kind.TAKEN, 0);
+    PiecesClaimed claims = new PiecesClaimed(m, 1, 10_000, List.of(c));
+    byte[] b = codec.encode(claims);
+    assertEquals(Optional.of(claims), codec.decodeEntry(b));
+    assertTrue(b.length <= 128, "bytes " + b.length);
+  }
+
+  private void assertSmall(PeerMessage m, int most) {
+    byte[] b = codec.encode(m);
+    assertEquals(m, codec.decodeMessage(b));
+    assertTrue(b.length <= most, m + " takes " + b.length + " bytes");
+    if (Boolean.getBoolean("pomelohollow.measure")) {
+      System.out.println(m.getClass().getSimpleName() + " | " + b.length + " bytes");
+    }
+  }
+
   @Property(seed = "1", tries = 2000)
   void everyInputIsDecodedOrRejected(@ForAll byte[] input) {
     try {
