Bound the fan-out of membership

Cause: every daemon sent heartbeats to every other, which at 1,500 daemons is 3,000 messages a second out of each; views were rebuilt on every heartbeat, and a paused daemon went on by what it had believed.

Change: heartbeats go to a few neighbours on hash rings, half of them within the own zone. A silent neighbour is probed, suspected, and declared dead unless it refutes. Changes are passed on from neighbour to neighbour at once; roster digests in the heartbeats find what was lost. After a pause or isolation the view is believed again only once a peer has confirmed or replaced it. The members stream is joined, renewed and left; it only tells of addresses to try, so an outage removes nobody. The roster has an index by service and is rebuilt only on change. Event.Resumed tells all controllers of a pause.

--- /dev/null
+++ b/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/membership/MembershipFleetTest.java
@@ -0,0 +1,79 @@
+package org.pomelohollow.decision.membership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.function.IntPredicate;
+import java.util.stream.IntStream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.pomelohollow.junit.MemberFleet;
+
+/** Losses of racks and availability zones in a fleet of 7 zones. */
+class MembershipFleetTest {
+  private static final int ZONES = 7;
+  private static final int MEMBERS = 70;
+  private static final Duration BOUND = Duration.ofSeconds(3);
+  private static final Duration START = Duration.ofSeconds(6);
+
+  @Property(seed = "31", tries = 8)
+  void aLostRackIsPassedOver(@ForAll long seed) {
+    MemberFleet f = started(seed);
+    IntStream.range(40, 52).forEach(f::crash);
+    f.run(BOUND);
+    assertEquals(0, IntStream.range(40, 52).mapToLong(f::countRouting).sum());
+    f.run(START);
+    assertTrue(f.isConverged());
+  }
+
+  @Property(seed = "32", tries = 2)
+  void aZoneThatIsCutOffForMinutesReturns(@ForAll long seed) {
+    MemberFleet f = started(seed);
+    IntPredicate inside = k -> k % ZONES == 2;
+    f.setCut((from, to) -> inside.test(from) != inside.test(to));
+    f.run(Duration.ofSeconds(15));
+    assertTrue(f.isConverged(inside) && f.isConverged(inside.negate()));
+    f.run(Duration.ofMinutes(2));
+    f.crash(9);
+    f.run(Duration.ofMinutes(1));
+    assertTrue(f.isConverged(inside) && f.isConverged(inside.negate()));
+    f.setCut((from, to) -> false);
+    f.run(Duration.ofSeconds(10));
+    assertTrue(f.isConverged());
+  }
+
+  @Property(seed = "33", tries = 4)
+  void regionsLoseEachOtherAndMeetAgain(@ForAll long seed) {
+    MemberFleet f = started(seed);
+    IntPredicate inside = k -> k % ZONES < 3;
+    f.setCut((from, to) -> inside.test(from) != inside.test(to));
+    f.run(Duration.ofSeconds(15));
+    assertTrue(f.isConverged(inside) && f.isConverged(inside.negate()));
+    f.setCut((from, to) -> false);
+    f.run(Duration.ofSeconds(10));
+    assertTrue(f.isConverged());
+  }
+
+  @Property(seed = "34", tries = 4)
+  void zonesThatLoseOneOfTheirLinksStayInTheRoster(@ForAll long seed) {
+    MemberFleet f = started(seed);
+    f.setCut((from, to) -> from % ZONES == 1 && to % ZONES == 4);
+    for (int step = 0; step < 100; step++) {
+      f.run(Duration.ofMillis(200));
+      assertTrue(f.running().filter(k -> k % ZONES == 0).allMatch(k -> size(f, k) == MEMBERS));
+    }
+  }
+
+  private static int size(MemberFleet f, int k) {
+    return f.daemon(k).roster().members().size();
+  }
+
+  private static MemberFleet started(long seed) {
+    MemberFleet f = new MemberFleet(ZONES, 12, seed);
+    f.start(MEMBERS);
+    f.run(START);
+    assertTrue(f.isConverged());
+    return f;
+  }
+}
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/Event.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/Event.java
@@ -104,6 +104,14 @@
    */
   record TargetLost(ServiceId service) implements Event {}
 
+  /**
+   * The process was paused. Comes before any other event after the pause; what was believed before
+   * it may be out of date, and messages that waited in the meantime are old.
+   *
+   * @param gapNanos length of the pause, in nanoseconds
+   */
+  record Resumed(long gapNanos) implements Event {}
+
   /** The daemon was asked to stop gracefully. */
   record Stopping() implements Event {}
 
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/Node.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/Node.java
@@ -37,6 +37,7 @@
   private final LongSupplier clock;
   private final Effects effects;
   private final Deque<Event> pending = new ArrayDeque<>();
+  private final PauseDetector pauses = new PauseDetector();
   private final ConfigController config;
   private final MembershipController membership;
   private final AdmissionController admission;
@@ -64,7 +65,8 @@
     this.clock = clock;
     this.effects = e -> route(e, outside);
     this.config = new ConfigController(effects);
-    this.membership = new MembershipController(setup.self(), setup.seeds(), config, effects);
+    this.membership =
+        new MembershipController(setup.self(), setup.seeds(), config, random, effects);
     this.admission = new AdmissionController();
     Router router = new Router(random);
     this.claims = new ClaimController(setup.self().id(), ClaimSettings.DEFAULT, effects);
@@ -106,6 +108,17 @@
    * @param event the event, not null
    */
   public void handle(Event event) {
+    checkForPause();
+    dispatchAll(event);
+  }
+
+  private void checkForPause() {
+    if (!dispatching) {
+      pauses.check(clock.getAsLong()).ifPresent(gap -> dispatchAll(new Event.Resumed(gap)));
+    }
+  }
+
+  private void dispatchAll(Event event) {
     pending.add(event);
     if (dispatching) {
       return;
@@ -126,6 +139,7 @@
    * @param x the request
    */
   public void start(Exchange x) {
+    checkForPause();
     chain.start(x, clock.getAsLong());
   }
 
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/model/Roster.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/model/Roster.java
@@ -1,20 +1,25 @@
 package org.pomelohollow.model;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.SortedMap;
 import java.util.TreeMap;
 
 /** Immutable view of the live members, this daemon included. */
 public final class Roster {
   private final MemberId self;
-  private final Map<MemberId, Member> members;
+  private final SortedMap<MemberId, Member> members;
+  private final Map<ServiceId, List<Member>> serving;
 
-  private Roster(MemberId self, Map<MemberId, Member> members) {
+  private Roster(MemberId self, SortedMap<MemberId, Member> members) {
     this.self = self;
     this.members = members;
+    this.serving = indexByService(members.values());
   }
 
   /**
@@ -25,7 +30,7 @@
    * @return the view
    */
   public static Roster of(MemberId self, Collection<Member> members) {
-    Map<MemberId, Member> m = new TreeMap<>();
+    SortedMap<MemberId, Member> m = new TreeMap<>();
     members.forEach(e -> m.put(e.id(), e));
     return new Roster(self, m);
   }
@@ -51,13 +56,13 @@
   }
 
   /**
-   * Returns the members whose targets accept new work of a service.
+   * Returns the members whose targets accept new work of a service, by look-up.
    *
    * @param service a service, not null
-   * @return members in the order of their identities
+   * @return members in the order of their identities; immutable
    */
   public List<Member> servingMembers(ServiceId service) {
-    return members.values().stream().filter(m -> m.serves(service)).toList();
+    return serving.getOrDefault(service, List.of());
   }
 
   @Override
@@ -74,4 +79,16 @@
   public String toString() {
     return members.values().toString();
   }
+
+  private static Map<ServiceId, List<Member>> indexByService(Collection<Member> members) {
+    Map<ServiceId, List<Member>> out = new HashMap<>();
+    for (Member m : members) {
+      m.target()
+          .map(TargetState::service)
+          .filter(m::serves)
+          .ifPresent(s -> out.computeIfAbsent(s, k -> new ArrayList<>()).add(m));
+    }
+    out.replaceAll((s, list) -> List.copyOf(list));
+    return out;
+  }
 }
--- a/org.pomelohollow.wire/src/main/java/org/pomelohollow/wire/WireType.java
+++ b/org.pomelohollow.wire/src/main/java/org/pomelohollow/wire/WireType.java
@@ -17,6 +17,9 @@
 import org.pomelohollow.decision.config.ConfigTransfer;
 import org.pomelohollow.decision.membership.Heartbeat;
 import org.pomelohollow.decision.membership.MemberJoined;
+import org.pomelohollow.decision.membership.MemberLeft;
+import org.pomelohollow.decision.membership.Rumours;
+import org.pomelohollow.decision.membership.SyncRequest;
 import org.pomelohollow.decision.quota.LeaseAcknowledgement;
 import org.pomelohollow.decision.quota.LeaseRenewal;
 import org.pomelohollow.decision.quota.LoanAnswer;
@@ -26,6 +29,8 @@
 /** Numbers of the message and entry types on the wire. A number is never used again. */
 enum WireType {
   HEARTBEAT(1, Heartbeat.class),
+  RUMOURS(30, Rumours.class),
+  SYNC_REQUEST(31, SyncRequest.class),
   CONFIG_FETCH(2, ConfigFetch.class),
   CONFIG_TRANSFER(3, ConfigTransfer.class),
   CALL_HEAD(4, CallHead.class),
@@ -47,6 +52,7 @@
   RING_TRANSFER(47, RingTransfer.class),
 
   MEMBER_JOINED(100, MemberJoined.class),
+  MEMBER_LEFT(130, MemberLeft.class),
   CONFIG_PROPOSAL(101, ConfigProposal.class),
   CONFIG_CHECKPOINT(110, ConfigCheckpoint.class),
   CONFIG_RESTORE(111, ConfigRestore.class),
