Tell how old a heartbeat can be

Cause: a heartbeat that waited in a buffer through a pause or a partition looked like news, also for the age of the configuration.

Change: every heartbeat names the last one that its sender had from the receiver, so the receiver knows an upper bound of its age. Only answers to recent heartbeats confirm a member or its path; the bound is added to the age of the configuration that the heartbeat tells of.

--- a/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/membership/MembershipControllerTest.java
+++ b/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/membership/MembershipControllerTest.java
@@ -53,7 +53,7 @@
 
   @Example
   void aHeartbeatInTheNameOfAnotherIsIgnored() {
-    Heartbeat h = new Heartbeat(member("b", 9), 1, 1, 0, 0, 0, 3, 0);
+    Heartbeat h = new Heartbeat(member("b", 9), 1, 1, 0, 0, 0, true, 0);
     handle(new Event.MessageReceived(new MemberId("c", 1), h));
     assertEquals(List.of(), effects.take(Effect.SendToAddress.class));
   }
@@ -127,7 +127,7 @@
   }
 
   private void hear(Member m, long sequence) {
-    handle(new Event.MessageReceived(m.id(), new Heartbeat(m, 1, sequence, 0, 0, 0, 0, 0)));
+    handle(new Event.MessageReceived(m.id(), new Heartbeat(m, 1, sequence, 0, 0, 0, false, 0)));
   }
 
   private void handle(Event e) {
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/membership/Freshness.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/membership/Freshness.java
@@ -11,7 +11,7 @@
   private boolean fresh;
   private boolean answered;
   private long epoch;
-  private long firstProbe;
+  private long firstSequence;
   private long staleSinceNanos;
   private long nextProbeNanos;
 
@@ -27,13 +27,13 @@
   /**
    * Stops believing the view.
    *
-   * @param firstProbe number of the first probe whose answer is sure to be recent
+   * @param firstSequence number of the first heartbeat whose answer is sure to be recent
    */
-  void lose(long firstProbe, long nowNanos) {
+  void lose(long firstSequence, long nowNanos) {
     fresh = false;
     answered = false;
     epoch++;
-    this.firstProbe = firstProbe;
+    this.firstSequence = firstSequence;
     staleSinceNanos = nowNanos;
     nextProbeNanos = nowNanos;
   }
@@ -44,12 +44,12 @@
   }
 
   /**
-   * Notes an answer to a probe.
+   * Notes an answer to a heartbeat.
    *
-   * @return whether the probe was sent since the view became stale
+   * @return whether the heartbeat was sent since the view became stale
    */
-  boolean answered(long probe) {
-    boolean recent = probe >= firstProbe;
+  boolean answered(long sequence) {
+    boolean recent = sequence >= firstSequence;
     answered |= recent;
     return recent;
   }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/membership/Heartbeat.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/membership/Heartbeat.java
@@ -14,8 +14,9 @@
  * @param rosterDigest digest of the sender's roster; 0 while the sender doesn't vouch for it
  * @param freshnessAgeMillis time since the sender's last contact with the log, directly or through
  *     peers, in milliseconds
- * @param probe number to be answered with, 0 if no answer is asked for
- * @param answerTo the {@code probe} that this answers, 0 if none
+ * @param asksAnswer whether the receiver is to answer at once
+ * @param answerTo highest sequence number that the sender has had from the receiver, 0 if none;
+ *     proves that the message is no older than that
  */
 public record Heartbeat(
     Member member,
@@ -24,7 +25,7 @@
     long configVersion,
     long rosterDigest,
     long freshnessAgeMillis,
-    long probe,
+    boolean asksAnswer,
     long answerTo)
     implements PeerMessage {
   /** Checks the field. */
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/membership/MemberEntry.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/membership/MemberEntry.java
@@ -13,6 +13,7 @@
   private boolean suspected;
   private long confirmedDeadAtNanos;
   private boolean unreachable;
+  private long lostAtNanos;
   private long vouchedIn;
   private long holdNanos;
 
@@ -74,6 +75,11 @@
     return changed;
   }
 
+  /** Returns the highest sequence number of its heartbeats, 0 if none came. */
+  long sequence() {
+    return sequence;
+  }
+
   /**
    * Notes the sequence number of a heartbeat.
    *
@@ -89,8 +95,28 @@
     return unreachable;
   }
 
-  void setUnreachable(boolean unreachable) {
-    this.unreachable = unreachable;
+  /**
+   * Notes that the member can't be reached from here.
+   *
+   * @return false if that was known
+   */
+  boolean lose(long nowNanos) {
+    boolean news = !unreachable;
+    unreachable = true;
+    lostAtNanos = nowNanos;
+    return news;
+  }
+
+  /**
+   * Notes that the member answered a heartbeat.
+   *
+   * @param sentAtNanos when the heartbeat was sent
+   * @return whether that makes the member reachable again
+   */
+  boolean reach(long sentAtNanos) {
+    boolean again = unreachable && sentAtNanos - lostAtNanos > 0;
+    unreachable &= !again;
+    return again;
   }
 
   /** Notes that the member itself answered since the last resume. */
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/membership/MembershipController.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/membership/MembershipController.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
@@ -34,6 +35,7 @@
   private static final String PART = "members";
   private static final long HEARTBEAT_NANOS = 400_000_000L;
   private static final long CONTACT_NANOS = 1_000_000_000L;
+  private static final long ANSWER_NANOS = 2_000_000_000L;
   private static final long LOAD_NANOS = 1_000_000_000L;
   private static final int MISMATCHES_BEFORE_SYNC = 2;
   private static final int RANDOM_PROBES = 3;
@@ -47,6 +49,7 @@
   private final Reachability reachability = new Reachability();
   private final RumourQueue rumours = new RumourQueue();
   private final Freshness freshness = new Freshness();
+  private final SentTimes sent = new SentTimes();
   private final RosterSync sync;
   private final LogPresence presence;
   private final Contacts contacts;
@@ -55,8 +58,6 @@
   private Optional<TargetState> target = Optional.empty();
   private boolean leaving;
   private boolean started;
-  private long sequence;
-  private long probes;
   private long configVersionSent;
   private long nextHeartbeatNanos;
   private long nextContactNanos;
@@ -109,7 +110,11 @@
    * @return the address, if the member is known
    */
   public Optional<Endpoint> addressOf(MemberId id) {
-    return Optional.ofNullable(heard.get(id)).map(h -> h.member.peer());
+    return table
+        .find(id)
+        .map(MemberEntry::member)
+        .or(() -> table.findDead(id).map(Tombstone::member))
+        .map(Member::peer);
   }
 
   /**
@@ -160,7 +165,10 @@
     } else if (event instanceof Event.LinkLost l) {
       linkLost(l.peer(), nowNanos);
     } else if (event instanceof Event.LinkUp l) {
-      table.find(l.peer()).filter(MemberEntry::isUnreachable).ifPresent(e -> probe(e.id()));
+      table
+          .find(l.peer())
+          .filter(MemberEntry::isUnreachable)
+          .ifPresent(e -> probe(e.id(), nowNanos));
     } else if (event instanceof Event.Resumed) {
       resume(nowNanos);
     } else if (event instanceof Event.Stopping) {
@@ -194,7 +202,7 @@
 
   private void start(long nowNanos) {
     started = true;
-    freshness.lose(1, nowNanos);
+    freshness.lose(sent.upcoming(), nowNanos);
     nextHeartbeatNanos = nowNanos + random.nextLong(HEARTBEAT_NANOS);
     nextContactNanos = nowNanos;
     publishedAtNanos = nowNanos;
@@ -211,20 +219,23 @@
   private void tick(long nowNanos) {
     table.expire(nowNanos);
     chooseNeighbours(nowNanos);
-    neighbours.tick(nowNanos, this::probe, id -> suspect(id, nowNanos));
+    neighbours.tick(nowNanos, id -> probe(id, nowNanos), id -> suspect(id, nowNanos));
     reachability.tick(
-        nowNanos, id -> table.find(id).isPresent(), this::probe, this::setUnreachable);
+        nowNanos,
+        id -> table.find(id).isPresent(),
+        id -> probe(id, nowNanos),
+        id -> setUnreachable(id, nowNanos));
     if (freshness.isFresh() && neighbours.isIsolated(nowNanos)) {
-      freshness.lose(probes + 1, nowNanos);
+      freshness.lose(sent.upcoming(), nowNanos);
     }
     if (freshness.tick(nowNanos)) {
-      probeForFreshness();
+      probeForFreshness(nowNanos);
     }
     contact(nowNanos);
     presence.tick(nowNanos);
     if (nowNanos - nextHeartbeatNanos >= 0 || config.version() != configVersionSent) {
       nextHeartbeatNanos = nowNanos + HEARTBEAT_NANOS;
-      sendHeartbeats();
+      sendHeartbeats(nowNanos);
     }
     rumours.flush(neighbours.ids(), this::send);
   }
@@ -238,7 +249,7 @@
   }
 
   private void suspect(MemberId id, long nowNanos) {
-    setUnreachable(id);
+    setUnreachable(id, nowNanos);
     reachability.lost(id, nowNanos);
     Suspicion s = new Suspicion(id, table.find(id).map(MemberEntry::version).orElse(0L));
     if (table.suspect(s, nowNanos)) {
@@ -246,19 +257,12 @@
     }
   }
 
-  private void setUnreachable(MemberId id) {
-    table
-        .find(id)
-        .filter(e -> !e.isUnreachable())
-        .ifPresent(
-            e -> {
-              e.setUnreachable(true);
-              routingChanged = true;
-            });
+  private void setUnreachable(MemberId id, long nowNanos) {
+    table.find(id).ifPresent(e -> routingChanged |= e.lose(nowNanos));
   }
 
   private void linkLost(MemberId id, long nowNanos) {
-    setUnreachable(id);
+    setUnreachable(id, nowNanos);
     reachability.lost(id, nowNanos);
     neighbours.linkLost(id, nowNanos);
   }
@@ -274,7 +278,7 @@
   }
 
   private void resume(long nowNanos) {
-    freshness.lose(probes + 1, nowNanos);
+    freshness.lose(sent.upcoming(), nowNanos);
     neighbours.restart(nowNanos);
     reachability.restart(nowNanos);
     table.restartSuspicions(nowNanos);
@@ -286,14 +290,14 @@
     rumours.add(table.describeSelf(me(), aboveVersion));
   }
 
-  private void probeForFreshness() {
+  private void probeForFreshness(long nowNanos) {
     Set<MemberId> ids = new HashSet<>(neighbours.ids());
     List<MemberEntry> all = new ArrayList<>(table.live());
     for (int i = 0; i < RANDOM_PROBES; i++) {
       ids.add(all.get(random.nextInt(all.size())).id());
     }
     ids.remove(self.id());
-    ids.forEach(this::probe);
+    ids.forEach(id -> probe(id, nowNanos));
   }
 
   private void contact(long nowNanos) {
@@ -303,29 +307,32 @@
     nextContactNanos = nowNanos + CONTACT_NANOS;
     contacts
         .choose(table, nowNanos)
-        .ifPresent(a -> effects.emit(new Effect.SendToAddress(a, heartbeat(++probes, 0))));
+        .ifPresent(a -> effects.emit(new Effect.SendToAddress(a, heartbeat(0, true, nowNanos))));
   }
 
-  private void sendHeartbeats() {
+  private void sendHeartbeats(long nowNanos) {
     configVersionSent = config.version();
-    Heartbeat h = heartbeat(0, 0);
-    neighbours.ids().forEach(id -> send(id, h));
+    neighbours.ids().forEach(id -> send(id, heartbeat(id, false, nowNanos)));
   }
 
-  private Heartbeat heartbeat(long probe, long answerTo) {
+  private Heartbeat heartbeat(MemberId to, boolean asksAnswer, long nowNanos) {
+    return heartbeat(table.find(to).map(MemberEntry::sequence).orElse(0L), asksAnswer, nowNanos);
+  }
+
+  private Heartbeat heartbeat(long answerTo, boolean asksAnswer, long nowNanos) {
     return new Heartbeat(
         table.own().member(),
         table.own().version(),
-        ++sequence,
+        sent.next(nowNanos),
         config.version(),
         freshness.isFresh() ? table.digest().total() : 0,
-        0,
-        probe,
+        config.freshnessAgeMillis(nowNanos),
+        asksAnswer,
         answerTo);
   }
 
-  private void probe(MemberId id) {
-    send(id, heartbeat(++probes, 0));
+  private void probe(MemberId id, long nowNanos) {
+    send(id, heartbeat(id, true, nowNanos));
   }
 
   private void send(MemberId id, PeerMessage m) {
@@ -359,21 +366,28 @@
     if (id.host().equals(self.id().host()) || table.isReplaced(id)) {
       return;
     }
-    boolean answer = h.answerTo() > 0 && h.answerTo() <= probes;
+    OptionalLong age = sent.age(h.answerTo(), nowNanos);
+    boolean answer = age.isPresent() && age.getAsLong() < ANSWER_NANOS;
     RosterEntry r = new RosterEntry(h.member(), h.version());
     if (table.accept(r)) {
       rumours.add(r);
     }
     rumours.knows(id, r);
-    table.findDead(id).ifPresent(t -> hearDead(t, r, answer, nowNanos));
+    table.findDead(id).ifPresent(t -> hearDead(t, h, answer, nowNanos));
     table.find(id).ifPresent(e -> hearLive(e, h, answer, nowNanos));
-    if (h.probe() != 0) {
-      reply(h.member(), heartbeat(0, h.probe()));
+    if (h.asksAnswer()) {
+      reply(h.member(), heartbeat(h.sequence(), false, nowNanos));
     }
     config.hearVersion(id, h.configVersion());
+    age.ifPresent(a -> hearFreshness(h, a, nowNanos));
     compare(h, answer, nowNanos);
   }
 
+  private void hearFreshness(Heartbeat h, long ageNanos, long nowNanos) {
+    long ageMillis = h.freshnessAgeMillis() + TimeUnit.NANOSECONDS.toMillis(ageNanos);
+    config.hearFreshness(h.member().id(), h.configVersion(), ageMillis, nowNanos);
+  }
+
   private void hearLive(MemberEntry e, Heartbeat h, boolean answer, long nowNanos) {
     if (e.advance(h.sequence())) {
       neighbours.heard(e.id(), nowNanos);
@@ -382,30 +396,28 @@
     if (!answer) {
       return;
     }
-    reachability.answered(e.id(), nowNanos);
+    long sentAtNanos = nowNanos - sent.age(h.answerTo(), nowNanos).orElseThrow();
+    reachability.answered(e.id(), sentAtNanos);
+    routingChanged |= e.reach(sentAtNanos);
     if (freshness.answered(h.answerTo())) {
       routingChanged |= !freshness.isFresh() && !e.isVouchedIn(freshness.epoch());
       e.vouch(freshness.epoch());
     }
-    if (e.isUnreachable()) {
-      e.setUnreachable(false);
-      routingChanged = true;
-    }
   }
 
   /** Brings back a member that answers, and asks one that merely speaks: it may be a late word. */
-  private void hearDead(Tombstone t, RosterEntry r, boolean answer, long nowNanos) {
+  private void hearDead(Tombstone t, Heartbeat h, boolean answer, long nowNanos) {
     if (t.member().leaving()) {
       return;
     }
     if (answer) {
-      table.revive(r);
+      table.revive(new RosterEntry(h.member(), h.version()));
     } else {
-      reply(r.member(), heartbeat(++probes, 0));
+      reply(h.member(), heartbeat(h.sequence(), true, nowNanos));
     }
     if (nowNanos - t.atNanos() < t.holdNanos()) {
       List<Suspicion> s = List.of(new Suspicion(t.id(), t.version()));
-      reply(r.member(), new Rumours(List.of(), s, 0, 0));
+      reply(h.member(), new Rumours(List.of(), s, 0, 0));
     }
   }
 
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/membership/Reachability.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/membership/Reachability.java
@@ -37,18 +37,26 @@
     Path p = paths.computeIfAbsent(id, k -> new Path(nowNanos));
     if (!p.lost) {
       p.lost = true;
+      p.lostAtNanos = nowNanos;
       p.nextProbeNanos = nowNanos;
       p.probeEveryNanos = PROBE_EVERY_NANOS;
     }
   }
 
-  /** Notes that a member answered a probe. */
-  void answered(MemberId id, long nowNanos) {
+  /**
+   * Notes that a member answered a heartbeat of this daemon.
+   *
+   * @param sentAtNanos when the heartbeat was sent
+   */
+  void answered(MemberId id, long sentAtNanos) {
     Path p = paths.get(id);
-    if (p != null) {
+    if (p == null || sentAtNanos - p.answeredAtNanos <= 0) {
+      return;
+    }
+    if (!p.lost || sentAtNanos - p.lostAtNanos > 0) {
       p.lost = false;
-      p.answeredAtNanos = nowNanos;
-      p.nextProbeNanos = nowNanos + QUIET_NANOS;
+      p.answeredAtNanos = sentAtNanos;
+      p.nextProbeNanos = sentAtNanos + QUIET_NANOS;
       p.probeEveryNanos = PROBE_EVERY_NANOS;
     }
   }
@@ -81,6 +89,7 @@
       }
       if (!p.lost && nowNanos - p.answeredAtNanos >= UNREACHABLE_NANOS) {
         p.lost = true;
+        p.lostAtNanos = nowNanos;
         unreachable.accept(e.getKey());
       }
       if (nowNanos - p.nextProbeNanos >= 0) {
@@ -107,6 +116,7 @@
     private long nextProbeNanos;
     private long probeEveryNanos = PROBE_EVERY_NANOS;
     private boolean lost;
+    private long lostAtNanos;
 
     Path(long nowNanos) {
       usedAtNanos = nowNanos;
--- a/org.pomelohollow.wire/src/test/java/org/pomelohollow/wire/WireCodecTest.java
+++ b/org.pomelohollow.wire/src/test/java/org/pomelohollow/wire/WireCodecTest.java
@@ -45,7 +45,7 @@
             new ZoneId("a"),
             Optional.of(new TargetState(new ServiceId("s"), 4, 3, true, false)),
             false);
-    Heartbeat h = new Heartbeat(m, 2, 12, 3, -5, 40, 8, 9);
+    Heartbeat h = new Heartbeat(m, 2, 12, 3, -5, 40, true, 9);
     assertEquals(h, codec.decodeMessage(codec.encode(h)));
   }
 
