Check, publish and show the configuration from the command line

Cause: operators had no way to publish a document, or to settle a lost answer.

Figures (ConfigCommandsTest, over the stand-in log): two lost answers in a row make one version; of two changes on one base the second exits with 1 and is shown what the first changed.

Conclusion: the outcome of a publication is told, or how to settle it.

--- /dev/null
+++ b/org.pomelohollow.pgm/src/main/java/org/pomelohollow/pgm/ConfigLog.java
@@ -0,0 +1,139 @@
+package org.pomelohollow.pgm;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.pomelohollow.decision.Effect;
+import org.pomelohollow.decision.Event;
+import org.pomelohollow.decision.Event.AppendOutcome;
+import org.pomelohollow.decision.config.ConfigFold;
+import org.pomelohollow.decision.config.ConfigFoldListener;
+import org.pomelohollow.decision.config.ConfigState;
+import org.pomelohollow.decision.config.Publication;
+import org.pomelohollow.document.Document;
+import org.pomelohollow.errors.ErrorCode;
+import org.pomelohollow.errors.PomelohollowException;
+import org.pomelohollow.message.LogStream;
+import org.pomelohollow.message.StoredEntry;
+import org.pomelohollow.model.Endpoint;
+import org.pomelohollow.wire.HttpLogClient;
+import org.pomelohollow.wire.LogClient;
+import org.pomelohollow.wire.LogSlice;
+import org.pomelohollow.wire.WireCodec;
+import reactor.core.publisher.Mono;
+import reactor.netty.resources.LoopResources;
+
+/** The configuration stream as operators use it: one blocking step after the other. */
+final class ConfigLog implements AutoCloseable {
+  private static final int MAX_RECORDS = 100;
+  private static final Duration WAIT = Duration.ofMillis(200);
+  private static final Duration PAUSE = Duration.ofMillis(200);
+
+  private final WireCodec codec = new WireCodec();
+  private final LoopResources loops = LoopResources.create("operator", 1, true);
+  private final LogClient client;
+  private long next;
+
+  ConfigLog(Endpoint address) {
+    client = new HttpLogClient(address, loops, codec);
+  }
+
+  /**
+   * Publishes a change and waits for its outcome.
+   *
+   * @param change the change
+   * @param timeout longest wait
+   * @return the outcome
+   */
+  Publication.Outcome publish(Publication.Change change, Duration timeout) {
+    Deque<Effect> effects = new ArrayDeque<>();
+    long deadline = System.nanoTime() + timeout.toNanos();
+    Publication p =
+        new Publication(change, deadline, new SplittableRandom(System.nanoTime()), effects::add);
+    p.handle(new Event.Tick(), System.nanoTime());
+    while (p.outcome().isEmpty()) {
+      while (!effects.isEmpty()) {
+        carryOut(effects.remove(), p);
+      }
+      p.handle(read(), System.nanoTime());
+    }
+    return p.outcome().get();
+  }
+
+  /**
+   * Reads the stream to its end.
+   *
+   * @param timeout longest wait
+   * @return the state at the end
+   * @throws PomelohollowException if the log is unreachable or does not show a whole state
+   */
+  ConfigState current(Duration timeout) {
+    ConfigFold fold = new ConfigFold(new Ignored());
+    long deadline = System.nanoTime() + timeout.toNanos();
+    while (System.nanoTime() < deadline) {
+      if (read() instanceof Event.LogRead r) {
+        fold.read(r);
+        next = fold.nextOffset();
+        if (fold.state().isPresent() && next >= r.endOffset()) {
+          return fold.state().get();
+        }
+      }
+    }
+    throw new PomelohollowException(
+        ErrorCode.LOG_UNAVAILABLE, "the log does not show the configuration within the timeout");
+  }
+
+  @Override
+  public void close() {
+    loops.dispose();
+  }
+
+  private void carryOut(Effect e, Publication p) {
+    if (e instanceof Effect.ReadFrom r) {
+      next = r.offset();
+    } else if (e instanceof Effect.Append a) {
+      p.handle(new Event.AppendEnded(a.appendId(), append(a)), System.nanoTime());
+    }
+  }
+
+  private AppendOutcome append(Effect.Append a) {
+    return client
+        .append(a.stream().streamName(), codec.encode(a.entry()))
+        .map(offset -> AppendOutcome.APPENDED)
+        .onErrorReturn(PomelohollowException.class, AppendOutcome.UNKNOWN)
+        .block();
+  }
+
+  private Event read() {
+    long from = next;
+    return client
+        .read(LogStream.CONFIG.streamName(), from, MAX_RECORDS, WAIT)
+        .map(s -> event(from, s))
+        .onErrorResume(
+            PomelohollowException.class,
+            e -> Mono.<Event>just(new Event.LogUnreachable(LogStream.CONFIG)).delayElement(PAUSE))
+        .block();
+  }
+
+  private Event event(long from, LogSlice s) {
+    List<StoredEntry> entries =
+        s.records().stream()
+            .map(r -> new StoredEntry(r.offset(), codec.decodeEntry(r.content().array())))
+            .toList();
+    return new Event.LogRead(LogStream.CONFIG, from, entries, s.oldest(), s.end());
+  }
+
+  /** Takes only the state of the fold. */
+  private static final class Ignored implements ConfigFoldListener {
+    @Override
+    public void accepted(ConfigState state, Document document) {}
+
+    @Override
+    public void rejected(String changeId, ErrorCode code, ConfigState current) {}
+
+    @Override
+    public void checkpoint(ConfigState state) {}
+  }
+}
--- /dev/null
+++ b/org.pomelohollow.pgm/src/main/java/org/pomelohollow/pgm/KeyCommand.java
@@ -0,0 +1,37 @@
+package org.pomelohollow.pgm;
+
+import java.security.SecureRandom;
+import java.util.Base64;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import org.pomelohollow.decision.request.KeyDigest;
+
+/** Generates a key for a client account. */
+final class KeyCommand implements Command {
+  private static final int KEY_BYTES = 32;
+
+  @Override
+  public String name() {
+    return "key";
+  }
+
+  @Override
+  public String summary() {
+    return "generate a key, and its digest for the document";
+  }
+
+  @Override
+  public void declare(OptionParser parser) {
+    // No options.
+  }
+
+  @Override
+  public ExitCode run(OptionSet options, Console console) {
+    byte[] b = new byte[KEY_BYTES];
+    new SecureRandom().nextBytes(b);
+    String key = Base64.getUrlEncoder().withoutPadding().encodeToString(b);
+    console.out().println("key " + key);
+    console.out().println("sha256 " + KeyDigest.of(key));
+    return ExitCode.DONE;
+  }
+}
--- a/org.pomelohollow.pgm/src/main/java/org/pomelohollow/pgm/Main.java
+++ b/org.pomelohollow.pgm/src/main/java/org/pomelohollow/pgm/Main.java
@@ -16,10 +16,14 @@
 
   private final List<Command> commands =
       List.of(
+          new CheckCommand(),
           new DaemonCommand(),
           new DemoCommand(),
           new DumpCommand(),
+          new KeyCommand(),
           new LogCommand(),
+          new PublishCommand(),
+          new ShowCommand(),
           new TargetCommand());
 
   private Main() {}
