Quarantine requests that crash their targets

Cause: a request that crashed its target was tried again at the next one, and its caller's resends went on doing so.

Change: a request whose connection to its target broke is a suspect: it runs on one target at a time, after other suspects there. After two deaths its fingerprint is refused everywhere until that expires. A completed run clears it. A call that has lost two attempts makes no other.

The failed bottom of a chain of 6 now sees 4 attempts per root request, 5 before.

Conclusion: one request takes down at most two of three targets, unless copies of it already run when the first one dies.

--- a/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/attempt/Fixture.java
+++ b/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/attempt/Fixture.java
@@ -12,6 +12,8 @@
 import org.pomelohollow.decision.Timers;
 import org.pomelohollow.decision.config.VersionedDocument;
 import org.pomelohollow.decision.guard.RunningCalls;
+import org.pomelohollow.decision.quarantine.QuarantineController;
+import org.pomelohollow.decision.quarantine.QuarantineSettings;
 import org.pomelohollow.decision.request.DeadlineFilter;
 import org.pomelohollow.decision.request.Exchange;
 import org.pomelohollow.decision.request.FilterChain;
@@ -54,8 +56,11 @@
     router.handle(new Event.ConfigInForce(document()), clock.getAsLong());
     router.handle(new Event.RosterChanged(roster(targets)), clock.getAsLong());
     RetryBudgets budgets = new RetryBudgets(s.ratio(), s.burst());
+    QuarantineController q =
+        new QuarantineController(member(0), QuarantineSettings.DEFAULT, random, e -> {});
+    q.handle(new Event.RosterChanged(roster(targets)), clock.getAsLong());
     AttemptFilter.Parts parts =
-        new AttemptFilter.Parts(router, transport, timers, clock, random, s, budgets);
+        new AttemptFilter.Parts(router, transport, timers, clock, random, s, budgets, q);
     chain =
         new FilterChain(
             List.of(
--- a/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/guard/GuardClaimTest.java
+++ b/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/guard/GuardClaimTest.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import net.jqwik.api.Example;
 import org.pomelohollow.decision.Effect;
 import org.pomelohollow.decision.Event;
@@ -14,6 +15,8 @@
 import org.pomelohollow.decision.admission.Completion;
 import org.pomelohollow.decision.claim.ClaimController;
 import org.pomelohollow.decision.claim.ClaimSettings;
+import org.pomelohollow.decision.quarantine.QuarantineController;
+import org.pomelohollow.decision.quarantine.QuarantineSettings;
 import org.pomelohollow.errors.ErrorCode;
 import org.pomelohollow.junit.ManualClock;
 import org.pomelohollow.junit.RecordedEffects;
@@ -27,6 +30,7 @@
 import org.pomelohollow.model.RequestContext;
 import org.pomelohollow.model.Roster;
 import org.pomelohollow.model.ServiceId;
+import org.pomelohollow.model.TargetState;
 import org.pomelohollow.model.Verdict;
 import org.pomelohollow.model.ZoneId;
 
@@ -40,8 +44,10 @@
   private final AdmissionController admission = new AdmissionController();
   private final MemberId self = new MemberId("h", 1);
   private final ClaimController claims = new ClaimController(self, ClaimSettings.DEFAULT, effects);
+  private final QuarantineController quarantine =
+      new QuarantineController(self, QuarantineSettings.DEFAULT, new SplittableRandom(1), effects);
   private final Guard guard =
-      new Guard(new Guard.Parts(admission, claims, new RunningCalls(), clock));
+      new Guard(new Guard.Parts(admission, claims, quarantine, new RunningCalls(), clock));
   private final List<String> heard = new ArrayList<>();
   private int requests;
 
@@ -56,10 +62,15 @@
     List<Member> m = new ArrayList<>();
     for (int i = 1; i <= members; i++) {
       MemberId id = new MemberId(i == 1 ? "h" : "z" + i, 1);
-      m.add(new Member(id, ADDRESS, new ZoneId("a"), Optional.empty(), false));
+      Optional<TargetState> t =
+          id.equals(self)
+              ? Optional.of(new TargetState(SERVICE, 10, 10, false, false))
+              : Optional.empty();
+      m.add(new Member(id, ADDRESS, new ZoneId("a"), t, false));
     }
     long now = clock.advance(Duration.ofSeconds(1));
     claims.handle(new Event.RosterChanged(Roster.of(self, m)), now);
+    quarantine.handle(new Event.RosterChanged(Roster.of(self, m)), now);
     read(List.of());
     claims.handle(new Event.Tick(), now);
     LogEntry e = effects.take(Effect.Append.class).get(0).entry();
--- a/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/guard/RetryTreeTest.java
+++ b/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/guard/RetryTreeTest.java
@@ -35,7 +35,7 @@
     Tree t = new Tree(new SplittableRandom(1), 5, 1, 1_000_000);
     t.failAtBottom = true;
     assertTrue(!t.call(Optional.empty()));
-    assertEquals(5, t.bottom, "attempts that reach the bottom");
+    assertEquals(4, t.bottom, "attempts that reach the bottom");
     assertTrue(t.attempts <= t.calls + SETTINGS.rootAllowance());
   }
 
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/Node.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/Node.java
@@ -19,6 +19,9 @@
 import org.pomelohollow.decision.guard.Guard;
 import org.pomelohollow.decision.guard.RunningCalls;
 import org.pomelohollow.decision.membership.MembershipController;
+import org.pomelohollow.decision.quarantine.QuarantineController;
+import org.pomelohollow.decision.quarantine.QuarantineFilter;
+import org.pomelohollow.decision.quarantine.QuarantineSettings;
 import org.pomelohollow.decision.quota.QuotaController;
 import org.pomelohollow.decision.quota.QuotaTerms;
 import org.pomelohollow.decision.request.DeadlineFilter;
@@ -70,7 +73,10 @@
     this.admission = new AdmissionController();
     Router router = new Router(random);
     this.claims = new ClaimController(setup.self().id(), ClaimSettings.DEFAULT, effects);
-    this.guard = new Guard(new Guard.Parts(admission, claims, new RunningCalls(), clock));
+    QuarantineController quarantine =
+        new QuarantineController(setup.self().id(), QuarantineSettings.DEFAULT, random, effects);
+    this.guard =
+        new Guard(new Guard.Parts(admission, claims, quarantine, new RunningCalls(), clock));
     Timers timers = new Timers();
     RetrySettings retries = RetrySettings.DEFAULT;
     AttemptFilter attempts =
@@ -82,10 +88,13 @@
                 clock,
                 random,
                 retries,
-                new RetryBudgets(retries.ratio(), retries.burst())));
+                new RetryBudgets(retries.ratio(), retries.burst()),
+                quarantine));
     QuotaController quota = new QuotaController(setup.self().id(), QuotaTerms.standard(), effects);
     KeyFilter keys = new KeyFilter();
-    this.controllers = List.of(timers, config, keys, quota, router, admission, claims, membership);
+    this.controllers =
+        List.of(
+            timers, config, keys, quota, router, admission, claims, quarantine, guard, membership);
     this.chain =
         new FilterChain(
             List.of(
@@ -97,6 +106,7 @@
                     claims.settings().windowNanos() / 4,
                     guard.running(),
                     timers),
+                new QuarantineFilter(quarantine),
                 new ClaimFilter(),
                 new QuotaFilter(quota),
                 attempts));
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/attempt/AttemptFilter.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/attempt/AttemptFilter.java
@@ -3,6 +3,7 @@
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.pomelohollow.decision.Timers;
+import org.pomelohollow.decision.quarantine.QuarantineController;
 import org.pomelohollow.decision.request.Exchange;
 import org.pomelohollow.decision.request.Filter;
 import org.pomelohollow.decision.routing.Router;
@@ -35,6 +36,7 @@
    * @param random source of jitter
    * @param settings bounds on extra attempts
    * @param budgets bounds on extra attempts per service
+   * @param quarantine knows the requests that may run on one target only
    */
   public record Parts(
       Router router,
@@ -43,5 +45,6 @@
       LongSupplier clock,
       RandomGenerator random,
       RetrySettings settings,
-      RetryBudgets budgets) {}
+      RetryBudgets budgets,
+      QuarantineController quarantine) {}
 }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/attempt/Attempts.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/attempt/Attempts.java
@@ -13,12 +13,16 @@
 
 /** All attempts of one request, one after the other. */
 final class Attempts {
+  /** Lost attempts after which there may be another: two targets at most die of one call. */
+  private static final int MAX_LOST = 1;
+
   private final Exchange x;
   private final AttemptFilter.Parts parts;
   private final Set<MemberId> tried = new HashSet<>();
   private final RetryAllowance allowance;
   private Optional<MemberId> last = Optional.empty();
   private int extra;
+  private int lost;
 
   Attempts(Exchange x, AttemptFilter.Parts parts) {
     this.x = x;
@@ -53,6 +57,12 @@
 
   private Optional<MemberId> choose(long now) {
     RequestContext c = x.context();
+    if (parts.quarantine().isSuspect(c.fingerprint(), now)) {
+      Optional<MemberId> only = parts.quarantine().probationMember(c.fingerprint(), c.service());
+      if (only.isPresent() && !only.equals(last)) {
+        return only;
+      }
+    }
     Optional<MemberId> fresh = parts.router().choose(c.service(), tried, now);
     if (fresh.isPresent() || tried.isEmpty()) {
       return fresh;
@@ -66,8 +76,11 @@
     if (x.hasEnded()) {
       return;
     }
+    if (isSuspicious(v)) {
+      parts.quarantine().hear(x.context().fingerprint(), now());
+    }
     boolean repeatable = !isSameElsewhere(v) && (v.isSafeToRepeat() || x.context().idempotent());
-    if (!repeatable || !spend(v)) {
+    if (!repeatable || lost > MAX_LOST || !spend(v)) {
       x.refuse(v);
       return;
     }
@@ -121,6 +134,13 @@
         };
   }
 
+  /** Tells whether the request may have crashed a target. */
+  private static boolean isSuspicious(Verdict v) {
+    return v instanceof Verdict.MayHaveRun m
+        ? m.code() == ErrorCode.CONNECTION_LOST
+        : v instanceof Verdict.NotRun n && n.code() == ErrorCode.SUSPECTED;
+  }
+
   /** Tells whether every other target would refuse for the same reason. */
   private static boolean isSameElsewhere(Verdict v) {
     return v instanceof Verdict.NotRun n
@@ -173,6 +193,7 @@
         }
       } else {
         end(AttemptResult.Outcome.LOST);
+        lost++;
       }
       failed(verdict);
     }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/claim/ClaimKey.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/claim/ClaimKey.java
@@ -6,6 +6,7 @@
 import org.pomelohollow.model.AccountId;
 import org.pomelohollow.model.RequestContext;
 import org.pomelohollow.model.ServiceId;
+import org.pomelohollow.model.StableHash;
 
 /**
  * What a resend has in common with the first sending.
@@ -44,7 +45,7 @@
   /** Returns the shard of the key, the same in every process. */
   int shard() {
     String s = account.map(AccountId::value).orElse("") + "\0" + service + "\0" + idempotencyKey;
-    return Math.floorMod(Rendezvous.hash(s), RingState.SHARDS);
+    return Math.floorMod(StableHash.of(s), RingState.SHARDS);
   }
 
   @Override
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/guard/Guard.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/guard/Guard.java
@@ -1,13 +1,19 @@
 package org.pomelohollow.decision.guard;
 
 import java.util.function.LongSupplier;
+import org.pomelohollow.decision.Controller;
+import org.pomelohollow.decision.Event;
+import org.pomelohollow.decision.StateDump;
 import org.pomelohollow.decision.admission.AdmissionController;
 import org.pomelohollow.decision.claim.ClaimController;
+import org.pomelohollow.decision.quarantine.QuarantineController;
+import org.pomelohollow.decision.quarantine.SuspectLane;
 import org.pomelohollow.model.RequestContext;
 
 /** Decides on every request that reaches the daemon of its target. */
-public final class Guard {
+public final class Guard implements Controller {
   private final Parts parts;
+  private final SuspectLane<GuardedCall> lane;
 
   /**
    * Creates a guard.
@@ -16,6 +22,7 @@
    */
   public Guard(Parts parts) {
     this.parts = parts;
+    this.lane = new SuspectLane<>(parts.quarantine().settings().maxWaitNanos());
   }
 
   /** Returns the requests that run at the target. */
@@ -34,22 +41,39 @@
    */
   public GuardedCall offer(
       RequestContext context, boolean bulk, GuardListener listener, long nowNanos) {
-    GuardedCall c = new GuardedCall(parts, context, listener);
-    c.admit(bulk, nowNanos);
+    GuardedCall c = new GuardedCall(parts, lane, context, bulk, listener);
+    c.offer(nowNanos);
     return c;
   }
 
+  @Override
+  public void handle(Event event, long nowNanos) {
+    if (event instanceof Event.Tick) {
+      lane.expire(nowNanos).forEach(GuardedCall::waitedTooLong);
+    }
+  }
+
+  @Override
+  public StateDump dump(long nowNanos) {
+    return StateDump.of("guard")
+        .line("running", parts.running().size())
+        .line("suspects waiting", lane.waiting())
+        .build();
+  }
+
   /**
    * What a guard asks on every request.
    *
    * @param admission admits requests to the target
    * @param claims claims non-idempotent requests
+   * @param quarantine knows the requests that crash targets
    * @param running requests at the target
    * @param clock monotonic time, in nanoseconds
    */
   public record Parts(
       AdmissionController admission,
       ClaimController claims,
+      QuarantineController quarantine,
       RunningCalls running,
       LongSupplier clock) {}
 }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/guard/GuardedCall.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/guard/GuardedCall.java
@@ -9,6 +9,8 @@
 import org.pomelohollow.decision.claim.ClaimKey;
 import org.pomelohollow.decision.claim.ClaimRecord;
 import org.pomelohollow.decision.claim.ClaimState;
+import org.pomelohollow.decision.quarantine.QuarantineController;
+import org.pomelohollow.decision.quarantine.SuspectLane;
 import org.pomelohollow.errors.ErrorCode;
 import org.pomelohollow.model.RequestContext;
 import org.pomelohollow.model.Verdict;
@@ -16,17 +18,27 @@
 /** A request at the daemon of its target, from its arrival to its end. */
 public final class GuardedCall {
   private final Guard.Parts parts;
+  private final SuspectLane<GuardedCall> lane;
   private final RequestContext context;
+  private final boolean bulk;
   private final GuardListener listener;
   private final Optional<ClaimKey> key;
-  private State state = State.QUEUED;
+  private State state = State.WAITING;
+  private boolean onProbation;
   private Optional<Ticket> ticket = Optional.empty();
   private Optional<Completion> endedEarly = Optional.empty();
   private Optional<ClaimId> claim = Optional.empty();
 
-  GuardedCall(Guard.Parts parts, RequestContext context, GuardListener listener) {
+  GuardedCall(
+      Guard.Parts parts,
+      SuspectLane<GuardedCall> lane,
+      RequestContext context,
+      boolean bulk,
+      GuardListener listener) {
     this.parts = parts;
+    this.lane = lane;
     this.context = context;
+    this.bulk = bulk;
     this.listener = listener;
     this.key = ClaimKey.of(context);
   }
@@ -54,8 +66,10 @@
     }
     state = State.ENDED;
     parts.running().ended(context);
+    judge(completion, nowNanos);
     claim.ifPresent(id -> parts.claims().ended(id, stateAfter(completion), answer, nowNanos));
     leave(completion, nowNanos);
+    leaveLane(nowNanos);
   }
 
   /**
@@ -65,17 +79,51 @@
    * @param nowNanos current monotonic time, in nanoseconds
    */
   public void cancel(long nowNanos) {
-    if (state == State.QUEUED) {
-      state = State.ENDED;
-      ticket.ifPresent(parts.admission()::cancel);
-    } else if (state == State.CLAIMING) {
-      state = State.ENDED;
+    if (state == State.RUNNING || state == State.ENDED) {
+      return;
+    }
+    boolean claiming = state == State.CLAIMING;
+    state = State.ENDED;
+    if (claiming) {
       claim.ifPresent(id -> parts.claims().cancel(id, nowNanos));
       leave(Completion.CANCELLED, nowNanos);
+    } else {
+      ticket.ifPresent(parts.admission()::cancel);
+    }
+    leaveLane(nowNanos);
+  }
+
+  void offer(long nowNanos) {
+    QuarantineController q = parts.quarantine();
+    Optional<Long> millis = q.quarantineMillis(context.fingerprint(), nowNanos);
+    if (millis.isPresent()) {
+      refuse(new Verdict.NotRun(ErrorCode.QUARANTINED, millis.get()), nowNanos);
+    } else if (!q.isSuspect(context.fingerprint(), nowNanos)) {
+      admit(nowNanos);
+    } else if (!isProbationMember()) {
+      refuse(new Verdict.NotRun(ErrorCode.SUSPECTED), nowNanos);
+    } else {
+      onProbation = true;
+      if (lane.enter(this, nowNanos)) {
+        admit(nowNanos);
+      }
     }
   }
 
-  void admit(boolean bulk, long nowNanos) {
+  void waitedTooLong() {
+    refuse(new Verdict.NotRun(ErrorCode.SUSPECTED), parts.clock().getAsLong());
+  }
+
+  private boolean isProbationMember() {
+    return parts
+        .quarantine()
+        .probationMember(context.fingerprint(), context.service())
+        .filter(parts.quarantine().self()::equals)
+        .isPresent();
+  }
+
+  private void admit(long nowNanos) {
+    state = State.QUEUED;
     AdmissionListener l =
         new AdmissionListener() {
           @Override
@@ -85,8 +133,7 @@
 
           @Override
           public void refused(Verdict.NotRun verdict) {
-            state = State.ENDED;
-            listener.refused(verdict);
+            refuse(verdict, parts.clock().getAsLong());
           }
         };
     Ticket t = parts.admission().offer(context, bulk, l, nowNanos);
@@ -94,6 +141,39 @@
     endedEarly.ifPresent(c -> parts.admission().complete(t, c, nowNanos));
   }
 
+  private void refuse(Verdict v, long nowNanos) {
+    state = State.ENDED;
+    leaveLane(nowNanos);
+    listener.refused(v);
+  }
+
+  /** Lets the next suspect go on, if this call was the one that runs. */
+  private void leaveLane(long nowNanos) {
+    lane.leave(this).ifPresent(next -> next.offerAgain(nowNanos));
+  }
+
+  /** Looks anew: the request may be in quarantine, or cleared, since it began to wait. */
+  private void offerAgain(long nowNanos) {
+    QuarantineController q = parts.quarantine();
+    Optional<Long> millis = q.quarantineMillis(context.fingerprint(), nowNanos);
+    if (millis.isPresent()) {
+      refuse(new Verdict.NotRun(ErrorCode.QUARANTINED, millis.get()), nowNanos);
+    } else if (context.remainingNanos(nowNanos) <= 0) {
+      refuse(new Verdict.NotRun(ErrorCode.DEADLINE_EXCEEDED), nowNanos);
+    } else {
+      admit(nowNanos);
+    }
+  }
+
+  private void judge(Completion c, long nowNanos) {
+    if (c == Completion.FAILED) {
+      parts.quarantine().broken(context.fingerprint(), onProbation, nowNanos);
+    } else {
+      boolean answered = c == Completion.ANSWERED;
+      parts.quarantine().ended(context.fingerprint(), onProbation, answered);
+    }
+  }
+
   private void claimOrRun() {
     if (key.isEmpty()) {
       run();
@@ -110,8 +190,10 @@
       run();
       return;
     }
+    long now = parts.clock().getAsLong();
     state = State.ENDED;
-    leave(Completion.CANCELLED, parts.clock().getAsLong());
+    leave(Completion.CANCELLED, now);
+    leaveLane(now);
     if (a instanceof ClaimAnswer.Taken t) {
       tell(t.claim(), t.executorAlive());
     } else if (a instanceof ClaimAnswer.Refused r) {
@@ -122,6 +204,7 @@
   private void run() {
     state = State.RUNNING;
     parts.running().started(context);
+    parts.quarantine().started(context.fingerprint(), onProbation);
     listener.run();
   }
 
@@ -155,6 +238,7 @@
   }
 
   private enum State {
+    WAITING,
     QUEUED,
     CLAIMING,
     RUNNING,
--- /dev/null
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/quarantine/QuarantineFilter.java
@@ -0,0 +1,31 @@
+package org.pomelohollow.decision.quarantine;
+
+import java.util.Optional;
+import org.pomelohollow.decision.request.Exchange;
+import org.pomelohollow.decision.request.Filter;
+import org.pomelohollow.errors.ErrorCode;
+import org.pomelohollow.model.Verdict;
+
+/** Refuses requests in quarantine at their entry. */
+public final class QuarantineFilter implements Filter {
+  private final QuarantineController quarantine;
+
+  /**
+   * Creates a filter.
+   *
+   * @param quarantine knows the fingerprints in quarantine
+   */
+  public QuarantineFilter(QuarantineController quarantine) {
+    this.quarantine = quarantine;
+  }
+
+  @Override
+  public void apply(Exchange x, long nowNanos, Chain next) {
+    Optional<Long> millis = quarantine.quarantineMillis(x.context().fingerprint(), nowNanos);
+    if (millis.isPresent()) {
+      x.refuse(new Verdict.NotRun(ErrorCode.QUARANTINED, millis.get()));
+      return;
+    }
+    next.proceed(x, nowNanos);
+  }
+}
--- /dev/null
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/quarantine/package-info.java
@@ -0,0 +1,2 @@
+/** Requests that crash the targets running them: suspects, their probation and quarantine. */
+package org.pomelohollow.decision.quarantine;
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/errors/ErrorCode.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/errors/ErrorCode.java
@@ -50,6 +50,8 @@
   CLAIM_OUTCOME_UNKNOWN("PH-1406", 503),
   /** A non-idempotent request came without an idempotency key. */
   CLAIM_KEY_MISSING("PH-1407", 400),
+  /** The request may have crashed a target and runs on one other target only. */
+  SUSPECTED("PH-1408", 503),
   /** The daemon has no configuration in force. */
   NO_CONFIGURATION("PH-1501", 503),
   /** The daemon has been cut off from the log and all peers for too long. */
--- a/org.pomelohollow.wire/src/main/java/org/pomelohollow/wire/WireType.java
+++ b/org.pomelohollow.wire/src/main/java/org/pomelohollow/wire/WireType.java
@@ -20,6 +20,7 @@
 import org.pomelohollow.decision.membership.MemberLeft;
 import org.pomelohollow.decision.membership.Rumours;
 import org.pomelohollow.decision.membership.SyncRequest;
+import org.pomelohollow.decision.quarantine.SuspectsHeard;
 import org.pomelohollow.decision.quota.LeaseAcknowledgement;
 import org.pomelohollow.decision.quota.LeaseRenewal;
 import org.pomelohollow.decision.quota.LoanAnswer;
@@ -50,6 +51,7 @@
   SHARD_TRANSFER(45, ShardTransfer.class),
   RING_FETCH(46, RingFetch.class),
   RING_TRANSFER(47, RingTransfer.class),
+  SUSPECTS_HEARD(50, SuspectsHeard.class),
 
   MEMBER_JOINED(100, MemberJoined.class),
   MEMBER_LEFT(130, MemberLeft.class),
