Release the claim of a request that never reached its target

Cause: a connection that could not be opened ended a request as failed, so its claim stayed with an unknown outcome, its fingerprint became a suspect, and the entry's next attempt was told may-have-run.

Change: GuardedCall.notSent ends such a request; the daemon calls it when no byte was handed over. At most 256 suspects wait at a target. Claims are swept once a second instead of at each tick.

--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetCall.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetCall.java
@@ -132,6 +132,9 @@
   @Override
   public void failed(boolean reached, ErrorCode code) {
     Completion c = code == ErrorCode.DEADLINE_EXCEEDED ? Completion.TIMED_OUT : Completion.FAILED;
+    if (!reached && !over) {
+      guarded.ifPresent(g -> g.notSent(c, clock.getAsLong()));
+    }
     end(c, reached ? new Verdict.MayHaveRun(code) : new Verdict.NotRun(code));
   }
 
--- a/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/guard/GuardClaimTest.java
+++ b/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/guard/GuardClaimTest.java
@@ -1,6 +1,7 @@
 package org.pomelohollow.decision.guard;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -155,6 +156,14 @@
     assertEquals(List.of("run", "run"), heard);
   }
 
+  @Example
+  void aRequestThatNeverReachedItsTargetLeavesTheClaimFreeAndIsNoSuspect() {
+    offer(Optional.of("k"), 1).notSent(Completion.FAILED, clock.getAsLong());
+    assertTrue(!quarantine.isSuspect(1, clock.getAsLong()));
+    offer(Optional.of("k"), 1);
+    assertEquals(List.of("run", "run"), heard);
+  }
+
   @Example
   void withoutAKeyNothingIsClaimed() {
     end(offer(Optional.empty(), 1), Completion.ANSWERED, Optional.of(ANSWER));
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/claim/ClaimWitness.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/claim/ClaimWitness.java
@@ -3,12 +3,15 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.pomelohollow.decision.Effect;
 import org.pomelohollow.decision.Effects;
 import org.pomelohollow.model.MemberId;
 
 /** Records claims for the shards in which this daemon has a seat. */
 final class ClaimWitness {
+  private static final long SWEEP_NANOS = TimeUnit.SECONDS.toNanos(1);
+
   private final MemberId self;
   private final ClaimSettings settings;
   private final ClaimRing ring;
@@ -16,6 +19,7 @@
   private final ClaimStore store;
   private final long[] readyEpochs = new long[RingState.SHARDS];
   private final List<ShardSync> syncs = new ArrayList<>();
+  private long nextSweepNanos = Long.MIN_VALUE;
 
   ClaimWitness(MemberId self, ClaimSettings settings, ClaimRing ring, Effects effects) {
     this.self = self;
@@ -109,7 +113,10 @@
   void tick(long nowNanos) {
     syncs.forEach(s -> s.ask(effects, nowNanos));
     finishSyncs(nowNanos);
-    store.expire(nowNanos);
+    if (nowNanos >= nextSweepNanos) {
+      nextSweepNanos = nowNanos + SWEEP_NANOS;
+      store.expire(nowNanos);
+    }
   }
 
   private boolean mayGrant(ClaimRequest r, Seats seats, long nowNanos) {
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/guard/GuardedCall.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/guard/GuardedCall.java
@@ -61,15 +61,24 @@
    * @param nowNanos current monotonic time, in nanoseconds
    */
   public void completed(Completion completion, Optional<RecordedAnswer> answer, long nowNanos) {
-    if (state != State.RUNNING) {
-      return;
+    if (state == State.RUNNING) {
+      judge(completion, nowNanos);
+      end(completion, stateAfter(completion), answer, nowNanos);
+    }
+  }
+
+  /**
+   * Tells that no byte of a request that was to be handed to the target reached it. Takes the place
+   * of {@link #completed}; the request may be tried elsewhere.
+   *
+   * @param completion how it ended for admission
+   * @param nowNanos current monotonic time, in nanoseconds
+   */
+  public void notSent(Completion completion, long nowNanos) {
+    if (state == State.RUNNING) {
+      parts.quarantine().ended(context.fingerprint(), onProbation, false);
+      end(completion, ClaimState.RELEASED, Optional.empty(), nowNanos);
     }
-    state = State.ENDED;
-    parts.running().ended(context);
-    judge(completion, nowNanos);
-    claim.ifPresent(id -> parts.claims().ended(id, stateAfter(completion), answer, nowNanos));
-    leave(completion, nowNanos);
-    leaveLane(nowNanos);
   }
 
   /**
@@ -100,7 +109,7 @@
       refuse(new Verdict.NotRun(ErrorCode.QUARANTINED, millis.get()), nowNanos);
     } else if (!q.isSuspect(context.fingerprint(), nowNanos)) {
       admit(nowNanos);
-    } else if (!isProbationMember()) {
+    } else if (!isProbationMember() || lane.isFull()) {
       refuse(new Verdict.NotRun(ErrorCode.SUSPECTED), nowNanos);
     } else {
       onProbation = true;
@@ -165,6 +174,15 @@
     }
   }
 
+  private void end(
+      Completion c, ClaimState claimState, Optional<RecordedAnswer> answer, long nowNanos) {
+    state = State.ENDED;
+    parts.running().ended(context);
+    claim.ifPresent(id -> parts.claims().ended(id, claimState, answer, nowNanos));
+    leave(c, nowNanos);
+    leaveLane(nowNanos);
+  }
+
   private void judge(Completion c, long nowNanos) {
     if (c == Completion.FAILED) {
       parts.quarantine().broken(context.fingerprint(), onProbation, nowNanos);
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/quarantine/SuspectLane.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/quarantine/SuspectLane.java
@@ -12,6 +12,8 @@
  * @param <T> kind of what waits
  */
 public final class SuspectLane<T> {
+  private static final int MAX_WAITING = 256;
+
   private final Deque<Waiting<T>> queue = new ArrayDeque<>();
   private final long maxWaitNanos;
   private Optional<T> first = Optional.empty();
@@ -70,6 +72,11 @@
     return out;
   }
 
+  /** Returns whether no more suspects may wait. */
+  public boolean isFull() {
+    return queue.size() >= MAX_WAITING;
+  }
+
   /** Returns the number of suspects that wait. */
   public int waiting() {
     return queue.size();
