Release frames that end streams; measure the overhead of the path

Cause: every ended stream leaked the buffer of its last frame; Netty's leak detector, at its paranoid level, named END frames, whose empty payload was a slice that kept the whole frame. Change: an empty payload keeps no buffer, and END and RESET release theirs; a test holds the count.

--- /dev/null
+++ b/org.pomelohollow.bench/src/main/java/org/pomelohollow/bench/load/Caller.java
@@ -0,0 +1,57 @@
+package org.pomelohollow.bench.load;
+
+import io.netty.handler.codec.http.HttpMethod;
+import java.time.Duration;
+import java.util.Map;
+import org.pomelohollow.model.Endpoint;
+import org.pomelohollow.wire.Headers;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.client.HttpClient;
+import reactor.netty.http.client.HttpClientResponse;
+import reactor.netty.resources.ConnectionProvider;
+import reactor.netty.resources.LoopResources;
+
+/** Sends requests as a caller. */
+public final class Caller implements AutoCloseable {
+  private static final int CONNECTIONS = 2_000;
+  private static final int THREADS = 2;
+  private static final Duration TIMEOUT = Duration.ofSeconds(20);
+
+  private final LoopResources loops = LoopResources.create("caller", THREADS, true);
+  private final HttpClient http =
+      HttpClient.create(
+              ConnectionProvider.builder("caller")
+                  .maxConnections(CONNECTIONS)
+                  .pendingAcquireMaxCount(-1)
+                  .build())
+          .disableRetry(true)
+          .runOn(loops);
+
+  /**
+   * Sends a request.
+   *
+   * @param to a daemon, or a target
+   * @param method HTTP method
+   * @param path path and query
+   * @param headers header fields
+   * @return the outcome once the whole answer is here
+   */
+  public Mono<Outcome> send(
+      Endpoint to, HttpMethod method, String path, Map<String, String> headers) {
+    return http.headers(h -> headers.forEach(h::set))
+        .request(method)
+        .uri("http://" + to + path)
+        .responseSingle((r, b) -> b.asByteArray().then(Mono.fromSupplier(() -> outcome(r))))
+        .timeout(TIMEOUT);
+  }
+
+  private static Outcome outcome(HttpClientResponse r) {
+    return new Outcome(
+        r.status().code(), "not-run".equals(r.responseHeaders().get(Headers.VERDICT)));
+  }
+
+  @Override
+  public void close() {
+    loops.dispose();
+  }
+}
--- /dev/null
+++ b/org.pomelohollow.bench/src/main/java/org/pomelohollow/bench/load/ClosedLoop.java
@@ -0,0 +1,33 @@
+package org.pomelohollow.bench.load;
+
+import java.time.Duration;
+import java.util.concurrent.atomic.AtomicLong;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+/** Closed-loop load: a fixed number of callers, each sending again after its answer. */
+public final class ClosedLoop {
+  private ClosedLoop() {}
+
+  /**
+   * Finds what a path carries.
+   *
+   * @param callers number of callers
+   * @param length how long to send
+   * @param request one request
+   * @return served requests per second
+   */
+  public static double rate(int callers, Duration length, Mono<Outcome> request) {
+    AtomicLong served = new AtomicLong();
+    Mono<Outcome> counted =
+        request.onErrorReturn(new Outcome(0, false)).doOnNext(o -> count(served, o));
+    Flux.range(0, callers).flatMap(i -> counted.repeat(), callers).take(length).blockLast();
+    return served.get() / (length.toNanos() / 1e9);
+  }
+
+  private static void count(AtomicLong served, Outcome o) {
+    if (o.isServed()) {
+      served.incrementAndGet();
+    }
+  }
+}
--- /dev/null
+++ b/org.pomelohollow.bench/src/main/java/org/pomelohollow/bench/load/package-info.java
@@ -0,0 +1,2 @@
+/** Load generators and what they record. */
+package org.pomelohollow.bench.load;
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/link/CallingStream.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/link/CallingStream.java
@@ -61,8 +61,14 @@
       case ANSWER -> answer(codec.decode(AnswerHead.class, f.takeBytes()));
       case REFUSAL -> refuse(codec.decode(Refusal.class, f.takeBytes()));
       case DATA -> receiver.data(f.payload());
-      case END -> end(f.number());
-      case RESET -> linkLost();
+      case END -> {
+        f.payload().release();
+        end(f.number());
+      }
+      case RESET -> {
+        f.payload().release();
+        linkLost();
+      }
       default -> link.violation(f);
     }
   }
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/link/FrameCodec.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/link/FrameCodec.java
@@ -49,12 +49,17 @@
       if (stream < 0 || number < 0 || start + length != in.writerIndex()) {
         throw malformed(null);
       }
-      out.add(new Frame(type, stream, number, in.retainedSlice(start, length)));
+      out.add(new Frame(type, stream, number, payload(in, start, length)));
     } catch (IOException | MessagePackException e) {
       throw malformed(e);
     }
   }
 
+  /** Returns the payload; an empty one does not keep the frame's buffer. */
+  private static ByteBuf payload(ByteBuf in, int start, int length) {
+    return length == 0 ? Unpooled.EMPTY_BUFFER : in.retainedSlice(start, length);
+  }
+
   private static PomelohollowException malformed(Exception cause) {
     return new PomelohollowException(ErrorCode.WIRE_MALFORMED, "malformed frame", cause);
   }
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/link/ServingStream.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/link/ServingStream.java
@@ -47,8 +47,14 @@
         sender.grant(f.number());
       }
       case DATA -> receiver.data(f.payload());
-      case END -> receiver.end(f.number());
-      case RESET -> linkLost();
+      case END -> {
+        f.payload().release();
+        receiver.end(f.number());
+      }
+      case RESET -> {
+        f.payload().release();
+        linkLost();
+      }
       default -> link.violation(f);
     }
   }
--- a/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/internal/link/FrameCodecTest.java
+++ b/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/internal/link/FrameCodecTest.java
@@ -43,6 +43,17 @@
     }
   }
 
+  @Example
+  void aFrameWithoutPayloadKeepsNoBuffer() {
+    EmbeddedChannel c = new EmbeddedChannel(new FrameCodec());
+    c.writeOutbound(Frame.of(FrameType.END, 1, 7));
+    ByteBuf encoded = c.readOutbound();
+    c.writeInbound(encoded);
+    Frame f = c.readInbound();
+    assertEquals(7, f.number());
+    assertEquals(0, encoded.refCnt());
+  }
+
   @Example
   void aPayloadShorterThanItsLengthIsRejected() {
     EmbeddedChannel c = new EmbeddedChannel(new FrameCodec());
--- a/org.pomelohollow.pgm/src/main/java/org/pomelohollow/pgm/Main.java
+++ b/org.pomelohollow.pgm/src/main/java/org/pomelohollow/pgm/Main.java
@@ -17,6 +17,7 @@
   private final List<Command> commands =
       List.of(
           new CheckCommand(),
+          new BenchOverheadCommand(),
           new DaemonCommand(),
           new DemoCommand(),
           new DumpCommand(),
--- a/org.pomelohollow.standin/src/main/java/org/pomelohollow/standin/target/TargetStandIn.java
+++ b/org.pomelohollow.standin/src/main/java/org/pomelohollow/standin/target/TargetStandIn.java
@@ -180,11 +180,15 @@
     Mono<Void> done =
         Mono.usingWhen(
             slots.acquire(),
-            ok -> Mono.delay(serviceTime()).then(answer(req, res)),
+            ok -> serve(serviceTime()).then(answer(req, res)),
             ok -> Mono.fromRunnable(slots::release));
     return done.doOnTerminate(run::complete).doOnCancel(run::cancel);
   }
 
+  private static Mono<Long> serve(Duration time) {
+    return time.isZero() ? Mono.just(0L) : Mono.delay(time);
+  }
+
   private Duration serviceTime() {
     double mean = options.serviceTimeMillis() * faults.slowdown();
     if (isCold()) {
