Stop without closing connections in use, and show metrics

Cause: a stopping daemon kept taking connections until it closed, and gauges read NaN, since Micrometer holds their values weakly. Change: answers of a stopping daemon close their connection, its listener closes after the grace, and gauges hold their values; requests are counted by verdict and code.

--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/Daemon.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/Daemon.java
@@ -1,7 +1,5 @@
 package org.pomelohollow.daemon;
 
-import io.micrometer.prometheusmetrics.PrometheusConfig;
-import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Optional;
@@ -52,8 +50,7 @@
   private final LoopResources loops = LoopResources.create("pomelohollow", 1, true);
   private final Scheduler loop = Schedulers.fromExecutor(loops.onServer(true).next());
   private final WireCodec codec = new WireCodec();
-  private final PrometheusMeterRegistry metrics =
-      new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+  private final DaemonMetrics metrics = new DaemonMetrics();
   private final RunningRequests running = new RunningRequests();
   private final TargetClient target = new TargetClient(loops, loop);
   private final MemberId self;
@@ -69,7 +66,13 @@
   private Daemon(Settings settings) {
     this.settings = settings;
     this.self = new MemberId(settings.host(), System.currentTimeMillis());
-    this.entry = new Entry(self, running, System::nanoTime, settings.limits().maxBodyBytes());
+    this.entry =
+        new Entry(
+            self,
+            running,
+            System::nanoTime,
+            settings.limits().maxBodyBytes(),
+            metrics::requestEnded);
     this.links =
         new Links(
             self,
@@ -137,6 +140,7 @@
     return Mono.<Void>fromRunnable(this::leave)
         .subscribeOn(loop)
         .then(Mono.delay(LEAVE_GRACE, loop))
+        .then(Mono.fromRunnable(callerServer::dispose))
         .then(drained().timeout(settings.limits().drainTimeout(), Mono.empty()))
         .then(Mono.fromRunnable(this::close).subscribeOn(Schedulers.boundedElastic()))
         .then();
@@ -170,8 +174,9 @@
     callerServer = server(settings.listen().caller(), entry::fromCaller);
     TargetServer ts = new TargetServer(entry, watch);
     targetServer = server(settings.listen().target(), ts::serve);
-    AdminServer as = new AdminServer(metrics, node::dump, node.config()::inForce);
+    AdminServer as = new AdminServer(metrics.registry(), node::dump, node.config()::inForce);
     adminServer = server(settings.listen().admin(), as::serve);
+    metrics.watch(node.admission()::load, links::count, node.config()::version);
     log.start();
     every(TICK, this::tick);
     every(LIVENESS_CHECK, links::checkLiveness);
@@ -207,6 +212,7 @@
 
   private void leave() {
     Logger.info("daemon: stopping, {} requests under way", entry.count() + running.count());
+    entry.leave();
     handle(new Event.Stopping());
   }
 
@@ -264,29 +270,19 @@
 
     @Override
     public void received(MemberId from, PeerMessage message, int bytes) {
-      count("received", message, bytes);
+      metrics.control("received", message, bytes);
       handle(new Event.MessageReceived(from, message));
     }
 
     @Override
     public void sent(PeerMessage message, int bytes) {
-      count("sent", message, bytes);
+      metrics.control("sent", message, bytes);
     }
 
     @Override
     public void rejected(String cause) {
-      metrics.counter("pomelohollow.links.rejected").increment();
+      metrics.linkRejected();
       Logger.warn("links: connection closed: {}", cause);
     }
-
-    private void count(String direction, PeerMessage m, int bytes) {
-      String type = m.getClass().getSimpleName();
-      metrics
-          .counter("pomelohollow.control.bytes", "direction", direction, "type", type)
-          .increment(bytes);
-      metrics
-          .counter("pomelohollow.control.messages", "direction", direction, "type", type)
-          .increment();
-    }
   }
 }
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/Entry.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/Entry.java
@@ -41,8 +41,10 @@
   private final RunningRequests running;
   private final LongSupplier clock;
   private final long maxBodyBytes;
+  private final RequestObserver observer;
   private final Map<String, CallerCall> calls = new HashMap<>();
   private Optional<Node> node = Optional.empty();
+  private boolean leaving;
   private Function<MemberId, CallHandler> handlers = m -> (h, b, s) -> () -> {};
 
   /**
@@ -52,8 +54,15 @@
    * @param running requests at the target of this host
    * @param clock monotonic time, in nanoseconds
    * @param maxBodyBytes greatest body of a request
+   * @param observer hears of every request that ends
    */
-  public Entry(MemberId self, RunningRequests running, LongSupplier clock, long maxBodyBytes) {
+  public Entry(
+      MemberId self,
+      RunningRequests running,
+      LongSupplier clock,
+      long maxBodyBytes,
+      RequestObserver observer) {
+    this.observer = observer;
     this.ids = new RequestIds(self);
     this.running = running;
     this.clock = clock;
@@ -71,6 +80,11 @@
     handlers = h;
   }
 
+  /** Closes each connection after its answer from now on, since the daemon is leaving. */
+  public void leave() {
+    leaving = true;
+  }
+
   /** Returns the number of requests under way. */
   public int count() {
     return calls.size();
@@ -112,6 +126,9 @@
   private Publisher<Void> take(
       HttpServerRequest req, HttpServerResponse res, Optional<RequestContext> parent) {
     String id = ids.next();
+    if (leaving) {
+      res.keepAlive(false);
+    }
     try {
       long length = bodyLength(req.requestHeaders());
       checkTimeout(req.requestHeaders());
@@ -136,6 +153,7 @@
     CallerCall c = new CallerCall(req, res, id, HeaderRules.forTarget(req.requestHeaders()), body);
     Exchange x = new Exchange(head(req, id, parent, body), clock.getAsLong(), c);
     calls.put(id, c);
+    x.onEnd(v -> observer.ended(v, clock.getAsLong() - x.arrivedNanos()));
     Runnable leave = () -> x.finish(new Verdict.NotRun(ErrorCode.CANCELLED));
     Runnable detach = parent.map(p -> running.addChild(p.requestId(), leave)).orElse(() -> {});
     return Mono.defer(
--- a/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/Fleet.java
+++ b/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/Fleet.java
@@ -61,6 +61,15 @@
     return d;
   }
 
+  /** Stops a daemon gracefully and starts host and target anew under the same name. */
+  void restart(int i, String host, String zone, String service) {
+    daemons.get(i).stop().block(PATIENCE);
+    targets.get(i).close();
+    add(host, zone, service);
+    daemons.set(i, daemons.remove(daemons.size() - 1));
+    targets.set(i, targets.remove(targets.size() - 1));
+  }
+
   void publish(String changeId, long base, String text) {
     new HttpLogClient(log.address(), loops, new WireCodec())
         .append(
@@ -106,6 +115,19 @@
     }
   }
 
+  /** Returns status and body of a GET, or what broke. */
+  static String answer(Daemon d, String path) {
+    try {
+      var r = client().send(request(d, path).build(), BodyHandlers.ofString());
+      return r.statusCode() + " " + r.body();
+    } catch (IOException e) {
+      return "0 " + e;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return "0 interrupted";
+    }
+  }
+
   static HttpClient client() {
     return HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
   }
