--- a/org.pomelohollow.bench/src/main/java/org/pomelohollow/bench/OverheadExperiment.java
+++ b/org.pomelohollow.bench/src/main/java/org/pomelohollow/bench/OverheadExperiment.java
@@ -25,6 +25,7 @@
   private static final int SLOTS = 512;
   private static final int CALLERS = 64;
   private static final double BOUND_MILLIS = 1.5;
+  private static final Duration TIMEOUT = Duration.ofSeconds(20);
   private static final String KEY = "bench-key";
   private static final String PATH = "/far/x";
   private static final Map<String, String> HEADERS = Map.of("Authorization", "Bearer " + KEY);
@@ -53,7 +54,7 @@
    */
   public List<Row> run() throws InterruptedException {
     try (BenchFleet fleet = new BenchFleet();
-        Caller caller = new Caller()) {
+        Caller caller = new Caller(TIMEOUT)) {
       fleet.add("near", "a", d -> TargetOptions.warm("near", Optional.of(d), SLOTS, 0));
       fleet.add("far", "b", d -> TargetOptions.warm("far", Optional.of(d), SLOTS, 0));
       fleet.publish(document());
--- a/org.pomelohollow.bench/src/main/java/org/pomelohollow/bench/load/Caller.java
+++ b/org.pomelohollow.bench/src/main/java/org/pomelohollow/bench/load/Caller.java
@@ -15,7 +15,6 @@
 public final class Caller implements AutoCloseable {
   private static final int CONNECTIONS = 2_000;
   private static final int THREADS = 2;
-  private static final Duration TIMEOUT = Duration.ofSeconds(20);
 
   private final LoopResources loops = LoopResources.create("caller", THREADS, true);
   private final HttpClient http =
@@ -27,6 +26,17 @@
           .disableRetry(true)
           .runOn(loops);
 
+  private final Duration timeout;
+
+  /**
+   * Creates a caller.
+   *
+   * @param timeout time after which it gives up a request
+   */
+  public Caller(Duration timeout) {
+    this.timeout = timeout;
+  }
+
   /**
    * Sends a request.
    *
@@ -42,7 +52,7 @@
         .request(method)
         .uri("http://" + to + path)
         .responseSingle((r, b) -> b.asByteArray().then(Mono.fromSupplier(() -> outcome(r))))
-        .timeout(TIMEOUT);
+        .timeout(timeout);
   }
 
   private static Outcome outcome(HttpClientResponse r) {
--- /dev/null
+++ b/org.pomelohollow.bench/src/main/java/org/pomelohollow/bench/overload/package-info.java
@@ -0,0 +1,2 @@
+/** Experiments on overload: the product and two baselines on the same load. */
+package org.pomelohollow.bench.overload;
