Fix the service time of a stand-in's request at its start

The stand-in counted a request as started before it drew its service time, so the test took the slowdown away first and the request completed. Ruled out: the path; the daemons had nothing in flight and no exchange was left. Change: the service time is drawn before the start is counted. Conclusion: a fault of the stand-in, not of the path.

--- a/org.pomelohollow.standin/src/main/java/org/pomelohollow/standin/target/TargetStandIn.java
+++ b/org.pomelohollow.standin/src/main/java/org/pomelohollow/standin/target/TargetStandIn.java
@@ -175,12 +175,13 @@
   }
 
   private Publisher<Void> work(HttpServerRequest req, HttpServerResponse res) {
+    Duration time = serviceTime();
     counts.start(isCold());
     Run run = new Run();
     Mono<Void> done =
         Mono.usingWhen(
             slots.acquire(),
-            ok -> serve(serviceTime()).then(answer(req, res)),
+            ok -> serve(time).then(answer(req, res)),
             ok -> Mono.fromRunnable(slots::release));
     return done.doOnTerminate(run::complete).doOnCancel(run::cancel);
   }
@@ -192,7 +193,7 @@
   private Duration serviceTime() {
     double mean = options.serviceTimeMillis() * faults.slowdown();
     if (isCold()) {
-      int over = counts.running() - options.coldSlots();
+      int over = counts.running() + 1 - options.coldSlots();
       mean *= 1 + Math.max(0, over);
     }
     double factor;
