Read on where expired records of the quota stream end

Cause: a reader whose next offset had expired never counted as up to date, so it claimed nothing until another entry was written.

Change: it goes on at the oldest retained offset.

--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/quota/Ownership.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/quota/Ownership.java
@@ -55,13 +55,11 @@
   }
 
   void read(Event.LogRead r, long nowNanos) {
-    if (r.fromOffset() > nextOffset) {
-      if (r.oldestOffset() <= nextOffset) {
-        effects.emit(new Effect.ReadFrom(LogStream.QUOTA, nextOffset));
-        return;
-      }
-      nextOffset = r.fromOffset();
+    if (r.fromOffset() > Math.max(nextOffset, r.oldestOffset())) {
+      effects.emit(new Effect.ReadFrom(LogStream.QUOTA, nextOffset));
+      return;
     }
+    nextOffset = Math.max(nextOffset, r.oldestOffset());
     complete &= r.oldestOffset() == 0;
     r.entries().forEach(e -> fold(e, nowNanos));
     caughtUp = nextOffset >= r.endOffset();
