Bound, queue and share the work of a target

Requests in flight are bounded by slots, connections, a cold-start ramp and an adaptive limit; what waits is ordered by priority and shared between accounts by start-time fair queueing; large transfers wait apart. The limit searches by trials of throughput.

--- /dev/null
+++ b/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/admission/AdmissionHarness.java
@@ -0,0 +1,218 @@
+package org.pomelohollow.decision.admission;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.pomelohollow.decision.Event;
+import org.pomelohollow.decision.TargetAnnouncement;
+import org.pomelohollow.decision.config.VersionedDocument;
+import org.pomelohollow.document.AccountEntry;
+import org.pomelohollow.document.Document;
+import org.pomelohollow.document.ServiceEntry;
+import org.pomelohollow.document.ZoneEntry;
+import org.pomelohollow.errors.ErrorCode;
+import org.pomelohollow.junit.ManualClock;
+import org.pomelohollow.model.AccountId;
+import org.pomelohollow.model.Endpoint;
+import org.pomelohollow.model.Priority;
+import org.pomelohollow.model.RequestContext;
+import org.pomelohollow.model.ServiceId;
+import org.pomelohollow.model.Verdict;
+import org.pomelohollow.model.ZoneId;
+
+/** Drives an admission controller, and checks what must hold after every step. */
+final class AdmissionHarness {
+  static final ServiceId SERVICE = new ServiceId("orders");
+  static final ZoneId ZONE = new ZoneId("a");
+  static final int JOBS_PER_SLOT = 8;
+
+  final ManualClock clock = new ManualClock();
+  final AdmissionController admission = new AdmissionController(ZONE, new ThroughputLimit());
+  final List<Request> requests = new ArrayList<>();
+  private ServiceEntry entry = new ServiceEntry(SERVICE, 20, 40, 3);
+  private int announced = 20;
+  private int instance;
+  private int completedSinceFall;
+  private int falls;
+  private boolean coldAnnounced;
+  private long version;
+
+  AdmissionHarness() {
+    configure(20, 3, true);
+  }
+
+  void configure(int slots, int coldSlots, boolean inService) {
+    entry = new ServiceEntry(SERVICE, slots, slots * 2, Math.min(slots, coldSlots));
+    Document d =
+        new Document(
+            "d",
+            List.of("high", "normal", "low"),
+            Map.of(ZONE, new ZoneEntry(ZONE, "r", inService)),
+            Map.of(new AccountId("heavy"), new AccountEntry(new AccountId("heavy"), 1, 1, 3)),
+            List.of(),
+            Map.of(SERVICE, entry),
+            List.of());
+    handle(new Event.ConfigInForce(new VersionedDocument(++version, "c", "", d)));
+  }
+
+  void announce(int slots, boolean announceCold) {
+    if (announceCold && !coldAnnounced) {
+      fallen();
+    }
+    coldAnnounced = announceCold;
+    announced = slots;
+    TargetAnnouncement a =
+        new TargetAnnouncement(
+            SERVICE, new Endpoint("127.0.0.1", 1), "i" + instance, slots, 100, announceCold, 0);
+    handle(new Event.TargetAnnounced(a));
+  }
+
+  void restart(int slots, boolean announceCold) {
+    instance++;
+    fallen();
+    announce(slots, announceCold);
+  }
+
+  void lose() {
+    fallen();
+    handle(new Event.TargetLost(SERVICE));
+  }
+
+  void handle(Event e) {
+    admission.handle(e, clock.getAsLong());
+    check();
+  }
+
+  Request offer(int rank, String account, boolean bulk, long timeoutMillis) {
+    Request r = new Request(requests.size(), rank, account, bulk, timeoutMillis);
+    requests.add(r);
+    r.ticket = admission.offer(r.context, bulk, r, clock.getAsLong());
+    check();
+    return r;
+  }
+
+  void complete(Request r, Completion c) {
+    r.completed = true;
+    if (c == Completion.ANSWERED && r.epoch == falls) {
+      completedSinceFall++;
+    }
+    admission.complete(r.ticket, c, clock.getAsLong());
+    check();
+  }
+
+  void advance(long millis) {
+    clock.advance(Duration.ofMillis(millis));
+  }
+
+  /** Lets time pass while the target goes on announcing itself. */
+  void pass(long millis) {
+    for (long left = millis; left > 0; left -= 50) {
+      advance(Math.min(left, 50));
+      announce(announced, coldAnnounced);
+      handle(new Event.Tick());
+    }
+  }
+
+  List<Request> running() {
+    return requests.stream().filter(r -> r.admitted > 0 && !r.completed).toList();
+  }
+
+  List<Request> waiting() {
+    return requests.stream().filter(r -> r.isWaiting()).toList();
+  }
+
+  int bears() {
+    int slots = Math.min(announced, entry.slots());
+    int ramp = coldAnnounced ? 0 : completedSinceFall / JOBS_PER_SLOT;
+    return Math.min(slots, entry.coldStartSlots() + ramp);
+  }
+
+  private void fallen() {
+    falls++;
+    completedSinceFall = 0;
+  }
+
+  private void check() {
+    assertEquals(running().size(), admission.inFlight(), "in flight");
+    for (Request r : requests) {
+      assertTrue(r.admitted + r.refused <= 1, "ended twice");
+      if (!r.cancelled && !r.ticketIsQueued()) {
+        assertEquals(1, r.admitted + r.refused, "lost");
+      }
+    }
+  }
+
+  /** A request and what became of it. */
+  final class Request implements AdmissionListener {
+    final RequestContext context;
+    final boolean bulk;
+    Ticket ticket;
+    int admitted;
+    int refused;
+    int epoch;
+    boolean completed;
+    boolean cancelled;
+    Optional<Verdict.NotRun> verdict = Optional.empty();
+
+    Request(int n, int rank, String account, boolean bulk, long timeoutMillis) {
+      this.bulk = bulk;
+      context =
+          new RequestContext(
+              "r" + n,
+              "r" + n,
+              SERVICE,
+              "route",
+              Optional.of(new AccountId(account)),
+              new Priority(rank),
+              clock.getAsLong() + timeoutMillis * 1_000_000,
+              false,
+              Optional.empty(),
+              0,
+              0,
+              0);
+    }
+
+    boolean isWaiting() {
+      return admitted + refused == 0 && !cancelled;
+    }
+
+    void cancel() {
+      cancelled = isWaiting();
+      admission.cancel(ticket);
+      check();
+    }
+
+    @Override
+    public void admitted() {
+      admitted++;
+      epoch = falls;
+      assertTrue(running().size() <= bears(), () -> running().size() + " at " + bears());
+      assertTrue(context.remainingNanos(clock.getAsLong()) > 0, "expired");
+      assertTrue(
+          waiting().stream()
+              .noneMatch(
+                  o ->
+                      o.bulk == bulk
+                          && context.priority().isLessImportantThan(o.context.priority())),
+          "a more important request waits");
+    }
+
+    @Override
+    public void refused(Verdict.NotRun v) {
+      refused++;
+      verdict = Optional.of(v);
+      if (v.code() == ErrorCode.OVERLOADED || v.code() == ErrorCode.TARGET_COLD) {
+        assertTrue(v.retryAfterMillis() > 0, "no time for another try");
+      }
+    }
+
+    private boolean ticketIsQueued() {
+      return ticket == null || ticket.isQueued();
+    }
+  }
+}
--- /dev/null
+++ b/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/load/ModelDaemon.java
@@ -0,0 +1,154 @@
+package org.pomelohollow.decision.load;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.pomelohollow.decision.Event;
+import org.pomelohollow.decision.TargetAnnouncement;
+import org.pomelohollow.decision.admission.AdmissionController;
+import org.pomelohollow.decision.admission.Completion;
+import org.pomelohollow.decision.admission.LimitAlgorithm;
+import org.pomelohollow.decision.routing.Router;
+import org.pomelohollow.model.Endpoint;
+import org.pomelohollow.model.Member;
+import org.pomelohollow.model.MemberId;
+import org.pomelohollow.model.ServiceId;
+import org.pomelohollow.model.ZoneId;
+
+/** A daemon's routing and admission with the target beside it. */
+public final class ModelDaemon {
+  private static final Endpoint ANYWHERE = new Endpoint("127.0.0.1", 1);
+
+  private final LoadModel model;
+  private final MemberId id;
+  private final ZoneId zone;
+  private final ServiceId service;
+  private final int announced;
+  private final ModelTarget target;
+  private final AdmissionController admission;
+  private final Router router;
+  private final Map<ModelTarget.Job, ModelCall> calls = new HashMap<>();
+  private int instance = 1;
+  private boolean announcedCold;
+  private boolean lost;
+  private int started;
+
+  ModelDaemon(
+      LoadModel model,
+      String host,
+      ZoneId zone,
+      ServiceId service,
+      int announced,
+      int trueSlots,
+      double penalty,
+      LimitAlgorithm limit) {
+    this.model = model;
+    this.id = new MemberId(host, 1);
+    this.zone = zone;
+    this.service = service;
+    this.announced = announced;
+    this.target = new ModelTarget(trueSlots, penalty);
+    this.admission = new AdmissionController(zone, limit);
+    this.router = new Router(new SplittableRandom(host.hashCode()));
+  }
+
+  public MemberId id() {
+    return id;
+  }
+
+  public ZoneId zone() {
+    return zone;
+  }
+
+  public ServiceId service() {
+    return service;
+  }
+
+  public ModelTarget target() {
+    return target;
+  }
+
+  public AdmissionController admission() {
+    return admission;
+  }
+
+  public Router router() {
+    return router;
+  }
+
+  /** Returns the number of requests that the target was given. */
+  public int started() {
+    return started;
+  }
+
+  Optional<Member> member() {
+    return lost
+        ? Optional.empty()
+        : Optional.of(new Member(id, ANYWHERE, zone, admission.targetState(), false));
+  }
+
+  void handle(Event e) {
+    router.handle(e, model.now());
+    admission.handle(e, model.now());
+    if (e instanceof Event.Tick && !lost) {
+      announce();
+    }
+  }
+
+  /** Has the target announce itself. */
+  public void announce() {
+    TargetAnnouncement a =
+        new TargetAnnouncement(
+            service, ANYWHERE, "i" + instance, announced, announced * 4, announcedCold, 0);
+    admission.handle(new Event.TargetAnnounced(a), model.now());
+  }
+
+  /** Restarts the target; its jobs break. */
+  public void restart(boolean announceCold) {
+    instance++;
+    announcedCold = announceCold;
+    breakJobs();
+    announce();
+  }
+
+  /** Ends the announced cold start. */
+  public void warm() {
+    target.turnWarm();
+    announcedCold = false;
+  }
+
+  /** Loses the whole host. */
+  public void lose() {
+    lost = true;
+    breakJobs();
+    admission.handle(new Event.TargetLost(service), model.now());
+  }
+
+  /** Brings the host back. */
+  public void comeBack() {
+    lost = false;
+    instance++;
+  }
+
+  boolean isLost() {
+    return lost;
+  }
+
+  void run(ModelCall c, double workNanos) {
+    started++;
+    ModelTarget.Job[] job = new ModelTarget.Job[1];
+    job[0] = target.start(workNanos, () -> c.worked());
+    calls.put(job[0], c);
+    c.setJob(job[0]);
+  }
+
+  void end(ModelTarget.Job j) {
+    calls.remove(j);
+    target.remove(j);
+  }
+
+  private void breakJobs() {
+    target.crash().forEach(j -> calls.remove(j).broken(Completion.FAILED));
+  }
+}
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/Node.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/Node.java
@@ -8,6 +8,7 @@
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.pomelohollow.decision.admission.AdmissionController;
+import org.pomelohollow.decision.admission.ThroughputLimit;
 import org.pomelohollow.decision.attempt.AttemptFilter;
 import org.pomelohollow.decision.attempt.AttemptTransport;
 import org.pomelohollow.decision.attempt.RetryBudgets;
@@ -70,7 +71,7 @@
     this.config = new ConfigController(effects);
     this.membership =
         new MembershipController(setup.self(), setup.seeds(), config, random, effects);
-    this.admission = new AdmissionController();
+    this.admission = new AdmissionController(setup.self().zone(), new ThroughputLimit());
     Router router = new Router(random);
     this.claims = new ClaimController(setup.self().id(), ClaimSettings.DEFAULT, effects);
     QuarantineController quarantine =
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/Ticket.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/Ticket.java
@@ -11,6 +11,11 @@
   private final AdmissionListener listener;
   private State state = State.QUEUED;
   private long startedNanos;
+  private int epoch;
+  private double charge;
+  private int outbound;
+  private long outboundSinceNanos;
+  private long outboundNanos;
 
   Ticket(RequestContext context, boolean bulk, long arrivedNanos, AdmissionListener listener) {
     this.context = Objects.requireNonNull(context, "context");
@@ -53,11 +58,44 @@
     return listener;
   }
 
-  void start(long nowNanos) {
+  /** Returns the run of the target in which the request started. */
+  int epoch() {
+    return epoch;
+  }
+
+  /** Returns what the account was charged when the request started, in nanoseconds of slot time. */
+  double charge() {
+    return charge;
+  }
+
+  void setCharge(double nanos) {
+    charge = nanos;
+  }
+
+  void start(int runEpoch, long nowNanos) {
     state = State.RUNNING;
+    epoch = runEpoch;
     startedNanos = nowNanos;
   }
 
+  void outboundStarted(long nowNanos) {
+    if (outbound++ == 0) {
+      outboundSinceNanos = nowNanos;
+    }
+  }
+
+  void outboundEnded(long nowNanos) {
+    if (--outbound == 0) {
+      outboundNanos += nowNanos - outboundSinceNanos;
+    }
+  }
+
+  /** Returns the time at the target without the time in which outbound calls were open. */
+  long ownNanos(long nowNanos) {
+    long open = outbound > 0 ? nowNanos - outboundSinceNanos : 0;
+    return nowNanos - startedNanos - outboundNanos - open;
+  }
+
   void end() {
     state = State.ENDED;
   }
