--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/LatencyJump.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/LatencyJump.java
@@ -64,7 +64,10 @@
 
     void add(long nanos) {
       count++;
-      double n = count > LEAST_LEARNED ? Math.min(nanos, CLIP * meanNanos) : nanos;
+      double n = nanos;
+      if (count > LEAST_LEARNED) {
+        n = Math.min(n, CLIP * meanNanos);
+      }
       meanNanos += Math.max(GAIN, 1.0 / count) * (n - meanNanos);
     }
   }
