Route by measured load, refuse early, and end the wedge after overload

Router: two choices, own zone until it is the busier one, bounded subset, ejection, gradual zone return. The entry refuses priorities that every target has cut off.

--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/Node.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/Node.java
@@ -26,6 +26,7 @@
 import org.pomelohollow.decision.quota.QuotaController;
 import org.pomelohollow.decision.quota.QuotaTerms;
 import org.pomelohollow.decision.request.DeadlineFilter;
+import org.pomelohollow.decision.request.EarlyRefusalFilter;
 import org.pomelohollow.decision.request.Exchange;
 import org.pomelohollow.decision.request.FilterChain;
 import org.pomelohollow.decision.request.KeyFilter;
@@ -109,6 +110,7 @@
                     timers),
                 new QuarantineFilter(quarantine),
                 new ClaimFilter(),
+                new EarlyRefusalFilter(router, random),
                 new QuotaFilter(quota),
                 attempts));
   }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionController.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionController.java
@@ -94,7 +94,7 @@
     elapse(nowNanos);
     LimitAlgorithm.Sample s =
         new LimitAlgorithm.Sample(
-            t.ownNanos(nowNanos), inFlight(), queue(t).size() > 0, completion);
+            t.ownNanos(nowNanos), inFlight(), inFlight() >= target.limit(), completion);
     t.end();
     running.remove(t.context().requestId(), t);
     shares.ended(t.isBulk());
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AimdLimit.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AimdLimit.java
@@ -27,8 +27,8 @@
   }
 
   @Override
-  public void reset() {
-    limit = ceiling;
+  public void reset(int start) {
+    limit = start;
   }
 
   @Override
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/ColdStart.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/ColdStart.java
@@ -8,7 +8,8 @@
   private static final double GROWTH = 1.5;
   private static final int STAGE_ROUNDS = 4;
   private static final int LEAST_STAGE = 16;
-  private static final double LATENCY_RISE = 2;
+  private static final double LATENCY_RISE = 1.5;
+  private static final int MOST_STEPS_BACK = 5;
 
   private int coldSlots = 1;
   private int ceiling = 1;
@@ -18,7 +19,8 @@
   private int epoch;
   private int stageCount;
   private double stageNanos;
-  private double firstMeanNanos;
+  private double lastMeanNanos;
+  private int stepsBack;
   private boolean grown;
 
   /** Returns whether the bound is below the ceiling. */
@@ -28,7 +30,12 @@
 
   /** Returns the most requests in flight. */
   int bound() {
-    return cold ? Math.min(ceiling, grown ? (int) bound : coldSlots) : ceiling;
+    return cold ? reached() : ceiling;
+  }
+
+  /** Returns the bound that the last cold start has reached. */
+  int reached() {
+    return Math.min(ceiling, grown ? (int) bound : coldSlots);
   }
 
   /** Returns the number of the present run of the target; a request keeps that of its start. */
@@ -49,7 +56,8 @@
     epoch++;
     cold = true;
     grown = false;
-    firstMeanNanos = 0;
+    lastMeanNanos = 0;
+    stepsBack = 0;
     clearStage();
   }
 
@@ -85,24 +93,35 @@
   }
 
   private void endStage() {
-    if (stageCount < Math.max(LEAST_STAGE, STAGE_ROUNDS * (grown ? bound : coldSlots))) {
+    if (stageCount < stageLength()) {
       return;
     }
     double mean = stageNanos / stageCount;
     clearStage();
-    if (firstMeanNanos == 0) {
-      firstMeanNanos = Math.max(1, mean);
-    }
-    if (mean > LATENCY_RISE * firstMeanNanos) {
-      firstMeanNanos *= LATENCY_RISE;
+    if (lastMeanNanos > 0 && mean > LATENCY_RISE * lastMeanNanos) {
+      stepBack();
       return;
     }
+    lastMeanNanos = mean;
     double b = grown ? bound : coldSlots;
     bound = Math.max(b + 1, b * GROWTH);
     grown = true;
     cold = bound < ceiling;
   }
 
+  private double stageLength() {
+    double rounds = Math.max(LEAST_STAGE, STAGE_ROUNDS * (grown ? bound : coldSlots));
+    return rounds * (1 << stepsBack);
+  }
+
+  /** Takes back a step that made the target slower; the next one needs twice the work. */
+  private void stepBack() {
+    bound = Math.max(coldSlots, bound / GROWTH);
+    lastMeanNanos = 0;
+    stepsBack++;
+    cold = stepsBack <= MOST_STEPS_BACK;
+  }
+
   private void clearStage() {
     stageCount = 0;
     stageNanos = 0;
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/DelayTargetLimit.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/DelayTargetLimit.java
@@ -36,8 +36,8 @@
   }
 
   @Override
-  public void reset() {
-    limit = ceiling;
+  public void reset(int start) {
+    limit = start;
     base = 0;
     nextBase = 0;
     windowCount = 0;
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/GradientLimit.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/GradientLimit.java
@@ -33,8 +33,8 @@
   }
 
   @Override
-  public void reset() {
-    limit = ceiling;
+  public void reset(int start) {
+    limit = start;
     longNanos = 0;
     windowNanos = 0;
     windowCount = 0;
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/LimitAlgorithm.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/LimitAlgorithm.java
@@ -15,8 +15,12 @@
    */
   void setCeiling(int ceiling);
 
-  /** Forgets what was measured and starts at the ceiling. */
-  void reset();
+  /**
+   * Forgets what was measured.
+   *
+   * @param start limit to start at, from 1 to the ceiling
+   */
+  void reset(int start);
 
   /**
    * Learns from a request that ended.
@@ -32,7 +36,7 @@
    * @param ownNanos time at the target without the time in which it waited for its own outbound
    *     calls, in nanoseconds
    * @param inFlight requests in flight just before it ended
-   * @param binding whether requests were kept waiting by the limit when it ended
+   * @param binding whether as many requests as the limit allows were in flight when it ended
    * @param completion how it ended
    */
   record Sample(long ownNanos, int inFlight, boolean binding, Completion completion) {}
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/TargetLimit.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/TargetLimit.java
@@ -95,7 +95,7 @@
       fall();
     } else if (coldStart.isCold()) {
       if (coldStart.ended(t.epoch(), s.completion(), s.ownNanos())) {
-        algorithm.reset();
+        algorithm.reset(coldStart.reached());
       }
     } else {
       algorithm.ended(s, nowNanos);
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/ThroughputLimit.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/ThroughputLimit.java
@@ -13,6 +13,7 @@
   private static final double LEAST_ELASTICITY = 0.2;
   private static final double SUSPICIOUS_RISE = 1.3;
   private static final double SHED_FACTOR = 0.9;
+  private static final double IDLE_GROWTH = 1.1;
   private static final double BINDING_SHARE = 0.9;
   private static final int WINDOW_SAMPLES = 2_000;
   private static final int LEAST_SAMPLES = 400;
@@ -47,8 +48,8 @@
   }
 
   @Override
-  public void reset() {
-    limit = ceiling;
+  public void reset(int start) {
+    limit = start;
     trial = 0;
     confirming = false;
     settledNanos = 0;
@@ -79,6 +80,7 @@
     } else {
       trial = 0;
       confirming = false;
+      limit = Math.min(ceiling, limit * IDLE_GROWTH + 1);
     }
   }
 
@@ -93,13 +95,22 @@
       if (!confirming) {
         settle(false, rate, w.meanNanos(), nowNanos);
       }
-    } else if (nowNanos >= nextTrialNanos || w.meanNanos() > SUSPICIOUS_RISE * settledNanos) {
+    } else if (isTrialDue(w.meanNanos(), nowNanos)) {
       baseRate = rate;
       settledNanos = w.meanNanos();
       startTrial(nowNanos);
     }
   }
 
+  /** At the ceiling only a rise of the latency is a reason: a trial costs throughput. */
+  private boolean isTrialDue(double meanNanos, long nowNanos) {
+    if (settledNanos == 0 || meanNanos < settledNanos) {
+      settledNanos = meanNanos;
+    }
+    return meanNanos > SUSPICIOUS_RISE * settledNanos
+        || (limit < ceiling && nowNanos >= nextTrialNanos);
+  }
+
   private boolean isWorthwhile(double rate, double base) {
     double change = Math.abs(trial / limit - 1);
     return upward
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/routing/Router.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/routing/Router.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.pomelohollow.decision.Controller;
 import org.pomelohollow.decision.Event;
@@ -12,16 +13,27 @@
 import org.pomelohollow.document.Document;
 import org.pomelohollow.model.Member;
 import org.pomelohollow.model.MemberId;
+import org.pomelohollow.model.Priority;
 import org.pomelohollow.model.Roster;
 import org.pomelohollow.model.ServiceId;
-import org.pomelohollow.model.TargetLoad;
+import org.pomelohollow.model.ZoneId;
 
-/** Chooses the member whose target gets an attempt, by two random choices. */
+/**
+ * Chooses the member whose target gets an attempt.
+ *
+ * <p>Takes the better of two random members (Mitzenmacher, 1996) of the own zone, and goes to
+ * another zone if the own one is busy and busier. The measure is work at hand over the limit that
+ * the member's daemon tells, so that a target in cold start gets little, times its latency. Members
+ * that fail several times in a row are left out for a while, but never more than half of them.
+ */
 public final class Router implements Controller {
   private static final String PART = "routing";
+  private static final double BUSY_UTILIZATION = 0.7;
 
   private final RandomGenerator random;
   private final Map<MemberId, Peer> peers = new HashMap<>();
+  private final Map<ServiceId, List<Member>> candidates = new HashMap<>();
+  private final ZoneReturns returns = new ZoneReturns();
   private Optional<Roster> roster = Optional.empty();
   private Optional<Document> document = Optional.empty();
 
@@ -43,16 +55,35 @@
    * @return a member not tried before, if there is one
    */
   public Optional<MemberId> choose(ServiceId service, Set<MemberId> tried, long nowNanos) {
-    List<Member> candidates =
-        roster.map(r -> r.servingMembers(service)).orElse(List.of()).stream()
-            .filter(m -> !tried.contains(m.id()) && isInService(m))
-            .toList();
-    if (candidates.isEmpty()) {
-      return Optional.empty();
-    }
-    MemberId a = pick(candidates);
-    MemberId b = pick(candidates);
-    return Optional.of(cost(a) <= cost(b) ? a : b);
+    List<Member> all = filter(candidates(service), m -> !tried.contains(m.id()));
+    List<Member> healthy = filter(all, m -> !peer(m).isEjected(nowNanos));
+    return best(healthy.isEmpty() ? all : healthy, nowNanos).map(Member::id);
+  }
+
+  /**
+   * Chooses a member, one that was tried before if there is no other.
+   *
+   * @param service service that is called
+   * @param tried members that earlier attempts of the request went to
+   * @param nowNanos current monotonic time, in nanoseconds
+   * @return a member, if the service has any
+   */
+  public Optional<MemberId> chooseAgain(ServiceId service, Set<MemberId> tried, long nowNanos) {
+    return choose(service, tried, nowNanos).or(() -> choose(service, Set.of(), nowNanos));
+  }
+
+  /**
+   * Returns the least important priority that some member of a service admits.
+   *
+   * @param service the service
+   * @param nowNanos current monotonic time, in nanoseconds
+   * @return the priority; {@link Priority#NONE_SHED} if of some member nothing is known of late
+   */
+  public Priority cutOff(ServiceId service, long nowNanos) {
+    return candidates(service).stream()
+        .map(m -> peer(m).cutOff(nowNanos))
+        .max(Priority::compareTo)
+        .orElse(Priority.NONE_SHED);
   }
 
   /**
@@ -61,7 +92,7 @@
    * @param member the member
    */
   public void started(MemberId member) {
-    peers.computeIfAbsent(member, k -> new Peer()).outstanding++;
+    peers.computeIfAbsent(member, k -> new Peer()).started();
   }
 
   /**
@@ -73,9 +104,8 @@
    */
   public void ended(MemberId member, AttemptResult result, long nowNanos) {
     Peer p = peers.get(member);
-    if (p != null) {
-      p.outstanding--;
-      result.load().ifPresent(l -> p.load = l);
+    if (p != null && p.ended(result, nowNanos) && mayEject(member, nowNanos)) {
+      p.eject(nowNanos);
     }
   }
 
@@ -83,36 +113,93 @@
   public void handle(Event event, long nowNanos) {
     if (event instanceof Event.RosterChanged r) {
       roster = Optional.of(r.roster());
+      candidates.clear();
       peers
           .entrySet()
-          .removeIf(e -> e.getValue().outstanding == 0 && r.roster().find(e.getKey()).isEmpty());
+          .removeIf(e -> e.getValue().outstanding() == 0 && r.roster().find(e.getKey()).isEmpty());
     } else if (event instanceof Event.ConfigInForce c) {
-      document = Optional.of(c.configuration().document());
+      Document d = c.configuration().document();
+      document.ifPresent(old -> returns.change(old, d, nowNanos));
+      document = Optional.of(d);
+      candidates.clear();
     }
   }
 
   @Override
   public StateDump dump(long nowNanos) {
     StateDump.Builder b = StateDump.of(PART);
-    peers.forEach((id, p) -> b.line(id.toString(), p.outstanding + " outstanding, " + p.load));
+    peers.forEach((id, p) -> b.line(id.toString(), p));
     return b.build();
   }
 
+  private List<Member> candidates(ServiceId service) {
+    return candidates.computeIfAbsent(
+        service,
+        s ->
+            roster
+                .map(r -> filter(r.servingMembers(s), this::isInService))
+                .map(l -> ownZone().map(z -> Subset.of(self(), z, l)).orElse(l))
+                .orElse(List.of()));
+  }
+
+  private MemberId self() {
+    return roster.orElseThrow().self();
+  }
+
+  private Optional<ZoneId> ownZone() {
+    return roster.flatMap(r -> r.find(r.self())).map(Member::zone);
+  }
+
   private boolean isInService(Member m) {
     return document.filter(d -> d.isInService(m.zone())).isPresent();
   }
 
-  private MemberId pick(List<Member> candidates) {
-    return candidates.get(random.nextInt(candidates.size())).id();
+  private Optional<Member> best(List<Member> l, long nowNanos) {
+    Optional<ZoneId> own = ownZone();
+    List<Member> near = filter(l, m -> own.filter(m.zone()::equals).isPresent());
+    Optional<Member> a = betterOfTwo(near, nowNanos);
+    if (a.filter(m -> utilization(m, nowNanos) <= BUSY_UTILIZATION).isPresent()) {
+      return a;
+    }
+    Optional<Member> b = betterOfTwo(filter(l, m -> !near.contains(m)), nowNanos);
+    if (a.isEmpty() || b.isEmpty()) {
+      return a.or(() -> b);
+    }
+    return cost(a.get(), nowNanos) <= cost(b.get(), nowNanos) ? a : b;
+  }
+
+  private Optional<Member> betterOfTwo(List<Member> l, long nowNanos) {
+    if (l.isEmpty()) {
+      return Optional.empty();
+    }
+    int i = random.nextInt(l.size());
+    int j = l.size() == 1 ? i : (i + 1 + random.nextInt(l.size() - 1)) % l.size();
+    Member a = l.get(i);
+    Member b = l.get(j);
+    return Optional.of(cost(a, nowNanos) <= cost(b, nowNanos) ? a : b);
+  }
+
+  private double utilization(Member m, long nowNanos) {
+    return peer(m).utilization(m, nowNanos) / returns.weight(m.zone(), nowNanos);
+  }
+
+  private double cost(Member m, long nowNanos) {
+    return peer(m).cost(m, nowNanos) / returns.weight(m.zone(), nowNanos);
+  }
+
+  private Peer peer(Member m) {
+    return peers.computeIfAbsent(m.id(), k -> new Peer());
   }
 
-  private double cost(MemberId id) {
-    Peer p = peers.get(id);
-    return p == null ? 0 : p.outstanding + p.load.utilization();
+  private boolean mayEject(MemberId id, long nowNanos) {
+    Optional<ServiceId> service =
+        roster.flatMap(r -> r.find(id)).flatMap(Member::target).map(t -> t.service());
+    List<Member> all = service.map(this::candidates).orElse(List.of());
+    long ejected = all.stream().filter(m -> peer(m).isEjected(nowNanos)).count();
+    return (ejected + 1) * 2 <= all.size();
   }
 
-  private static final class Peer {
-    private int outstanding;
-    private TargetLoad load = TargetLoad.UNKNOWN;
+  private static List<Member> filter(List<Member> l, Predicate<Member> p) {
+    return l.stream().filter(p).toList();
   }
 }
