Test routing, and don't take an unmeasured latency for none

A member without a measured latency looked nearly free and got everything until its first answer, also in a zone that had just returned (RouterTest.aZoneOutOfServiceGetsNothingAndReturnsGradually failed). Outbound calls are now kept out of the time held against the target. GuardClaimTest's target gets a document, since without one it counts as cold with one slot.

--- a/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/guard/GuardClaimTest.java
+++ b/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/guard/GuardClaimTest.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import net.jqwik.api.Example;
@@ -14,10 +15,15 @@
 import org.pomelohollow.decision.TargetAnnouncement;
 import org.pomelohollow.decision.admission.AdmissionController;
 import org.pomelohollow.decision.admission.Completion;
+import org.pomelohollow.decision.admission.ThroughputLimit;
 import org.pomelohollow.decision.claim.ClaimController;
 import org.pomelohollow.decision.claim.ClaimSettings;
 import org.pomelohollow.decision.quarantine.QuarantineController;
 import org.pomelohollow.decision.quarantine.QuarantineSettings;
+import org.pomelohollow.decision.config.VersionedDocument;
+import org.pomelohollow.document.Document;
+import org.pomelohollow.document.ServiceEntry;
+import org.pomelohollow.document.ZoneEntry;
 import org.pomelohollow.errors.ErrorCode;
 import org.pomelohollow.junit.ManualClock;
 import org.pomelohollow.junit.RecordedEffects;
@@ -42,7 +48,8 @@
 
   private final ManualClock clock = new ManualClock();
   private final RecordedEffects effects = new RecordedEffects();
-  private final AdmissionController admission = new AdmissionController();
+  private final AdmissionController admission =
+      new AdmissionController(new ZoneId("z"), new ThroughputLimit());
   private final MemberId self = new MemberId("h", 1);
   private final ClaimController claims = new ClaimController(self, ClaimSettings.DEFAULT, effects);
   private final QuarantineController quarantine =
@@ -53,6 +60,18 @@
   private int requests;
 
   GuardClaimTest() {
+    ZoneId z = new ZoneId("z");
+    Document d =
+        new Document(
+            "d",
+            List.of("p"),
+            Map.of(z, new ZoneEntry(z, "r", true)),
+            Map.of(),
+            List.of(),
+            Map.of(SERVICE, new ServiceEntry(SERVICE, 10, 10, 10)),
+            List.of());
+    admission.handle(
+        new Event.ConfigInForce(new VersionedDocument(1, "c", "", d)), clock.getAsLong());
     TargetAnnouncement a = new TargetAnnouncement(SERVICE, ADDRESS, "i", 10, 10, false, 0);
     admission.handle(new Event.TargetAnnounced(a), clock.getAsLong());
     startRing(1);
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/Node.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/Node.java
@@ -153,7 +153,9 @@
    */
   public void start(Exchange x) {
     checkForPause();
-    chain.start(x, clock.getAsLong());
+    long now = clock.getAsLong();
+    x.head().parent().ifPresent(p -> trackOutbound(x, p.requestId(), now));
+    chain.start(x, now);
   }
 
   /** Returns the admission of this daemon's target. */
@@ -189,6 +191,11 @@
     return out;
   }
 
+  private void trackOutbound(Exchange x, String parentId, long nowNanos) {
+    AdmissionController.OutboundEnd end = admission.outboundStarted(parentId, nowNanos);
+    x.onEnd(v -> end.at(clock.getAsLong()));
+  }
+
   private void dispatch(Event event) {
     long now = clock.getAsLong();
     controllers.forEach(c -> c.handle(event, now));
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/routing/Peer.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/routing/Peer.java
@@ -74,10 +74,15 @@
     return Math.max(outstanding, others) / (double) Math.max(1, limit);
   }
 
-  /** Returns the expected delay up to a factor that all members of a service share. */
-  double cost(Member m, long nowNanos) {
+  /** Returns the mean latency of whole answers, 0 while there is none. */
+  double latencyNanos() {
+    return latencyNanos;
+  }
+
+  /** Returns the utilization that one more request would make. */
+  double nextUtilization(Member m, long nowNanos) {
     int limit = Math.max(1, m.target().map(TargetState::limit).orElse(1));
-    return (utilization(m, nowNanos) + 1.0 / limit) * Math.max(1, latencyNanos);
+    return utilization(m, nowNanos) + 1.0 / limit;
   }
 
   @Override
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/routing/Router.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/routing/Router.java
@@ -165,7 +165,7 @@
     if (a.isEmpty() || b.isEmpty()) {
       return a.or(() -> b);
     }
-    return cost(a.get(), nowNanos) <= cost(b.get(), nowNanos) ? a : b;
+    return Optional.of(better(a.get(), b.get(), nowNanos));
   }
 
   private Optional<Member> betterOfTwo(List<Member> l, long nowNanos) {
@@ -174,17 +174,26 @@
     }
     int i = random.nextInt(l.size());
     int j = l.size() == 1 ? i : (i + 1 + random.nextInt(l.size() - 1)) % l.size();
-    Member a = l.get(i);
-    Member b = l.get(j);
-    return Optional.of(cost(a, nowNanos) <= cost(b, nowNanos) ? a : b);
+    return Optional.of(better(l.get(i), l.get(j), nowNanos));
   }
 
   private double utilization(Member m, long nowNanos) {
     return peer(m).utilization(m, nowNanos) / returns.weight(m.zone(), nowNanos);
   }
 
-  private double cost(Member m, long nowNanos) {
-    return peer(m).cost(m, nowNanos) / returns.weight(m.zone(), nowNanos);
+  /**
+   * Returns the better member; one whose latency is unknown is taken to be as fast as the other.
+   */
+  private Member better(Member a, Member b, long nowNanos) {
+    double latencyA = peer(a).latencyNanos();
+    double latencyB = peer(b).latencyNanos();
+    double costA = weighted(a, nowNanos) * (latencyA > 0 && latencyB > 0 ? latencyA : 1);
+    double costB = weighted(b, nowNanos) * (latencyA > 0 && latencyB > 0 ? latencyB : 1);
+    return costA <= costB ? a : b;
+  }
+
+  private double weighted(Member m, long nowNanos) {
+    return peer(m).nextUtilization(m, nowNanos) / returns.weight(m.zone(), nowNanos);
   }
 
   private Peer peer(Member m) {
