Wire membership's watch, the claims' hand-over and the deadline of answers

Cause: nothing told membership which members are used, a stopping daemon closed before its claims were handed over, an answer that ran past its deadline was not cut, and one read of the log could hold 500 documents. Change: attempts are noted to membership; a stop waits up to 5 s for the hand-over and 1 s for its last news; a late answer's connection is cut; reads of the configuration stream take 20 records.

--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/Daemon.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/Daemon.java
@@ -6,6 +6,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
+import java.util.function.BooleanSupplier;
 import org.pomelohollow.daemon.internal.call.CallHandler;
 import org.pomelohollow.daemon.internal.call.RunningRequests;
 import org.pomelohollow.daemon.internal.call.TargetClient;
@@ -43,6 +44,8 @@
   private static final Duration TICK = Duration.ofMillis(50);
   private static final Duration LIVENESS_CHECK = Duration.ofSeconds(1);
   private static final Duration LEAVE_GRACE = Duration.ofMillis(1_500);
+  private static final Duration HAND_OVER_TIMEOUT = Duration.ofSeconds(5);
+  private static final Duration LAST_NEWS = Duration.ofSeconds(1);
   private static final Duration DRAIN_POLL = Duration.ofMillis(20);
   private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(5);
 
@@ -141,7 +144,9 @@
         .subscribeOn(loop)
         .then(Mono.delay(LEAVE_GRACE, loop))
         .then(Mono.fromRunnable(callerServer::dispose))
-        .then(drained().timeout(settings.limits().drainTimeout(), Mono.empty()))
+        .then(when(this::isDrained).timeout(settings.limits().drainTimeout(), Mono.empty()))
+        .then(when(node.claims()::canLeave).timeout(HAND_OVER_TIMEOUT, Mono.empty()))
+        .then(Mono.delay(LAST_NEWS, loop))
         .then(Mono.fromRunnable(this::close).subscribeOn(Schedulers.boundedElastic()))
         .then();
   }
@@ -177,6 +182,7 @@
     AdminServer as = new AdminServer(metrics.registry(), node::dump, node.config()::inForce);
     adminServer = server(settings.listen().admin(), as::serve);
     metrics.watch(node.admission()::load, links::count, node.config()::version);
+    handle(new Event.RosterChanged(node.membership().roster()));
     log.start();
     every(TICK, this::tick);
     every(LIVENESS_CHECK, links::checkLiveness);
@@ -216,8 +222,12 @@
     handle(new Event.Stopping());
   }
 
-  private Mono<Void> drained() {
-    return Mono.fromSupplier(() -> entry.count() + running.count() == 0)
+  private boolean isDrained() {
+    return entry.count() + running.count() == 0;
+  }
+
+  private Mono<Void> when(BooleanSupplier condition) {
+    return Mono.fromSupplier(condition::getAsBoolean)
         .subscribeOn(loop)
         .filter(done -> done)
         .repeatWhenEmpty(n -> n.delayElements(DRAIN_POLL, loop))
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/CallerCall.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/CallerCall.java
@@ -22,6 +22,7 @@
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
+import reactor.netty.DisposableChannel;
 import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
 
@@ -55,10 +56,12 @@
 
   @Override
   public void refused(Verdict verdict) {
-    if (!answered) {
-      answered = true;
-      reply.tryEmitValue(Problems.send(res, requestId, verdict));
+    if (answered) {
+      res.withConnection(DisposableChannel::dispose);
+      return;
     }
+    answered = true;
+    reply.tryEmitValue(Problems.send(res, requestId, verdict));
   }
 
   /**
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/log/LogPump.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/log/LogPump.java
@@ -22,6 +22,10 @@
 /** Reads every stream of the log all the time, and appends. Confined to the event loop. */
 public final class LogPump {
   private static final int MAX_RECORDS = 500;
+
+  /** Documents are long, so fewer of them are read at once. */
+  private static final int MAX_CONFIG_RECORDS = 20;
+
   private static final Duration WAIT = Duration.ofSeconds(1);
   private static final Duration BACKOFF = Duration.ofMillis(500);
 
@@ -89,7 +93,7 @@
   private Mono<Void> read(LogStream s) {
     long from = next.get(s);
     return client
-        .read(s.streamName(), from, MAX_RECORDS, WAIT)
+        .read(s.streamName(), from, s == LogStream.CONFIG ? MAX_CONFIG_RECORDS : MAX_RECORDS, WAIT)
         .publishOn(loop)
         .doOnNext(slice -> take(s, from, slice))
         .then()
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/Node.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/Node.java
@@ -85,7 +85,7 @@
         new AttemptFilter(
             new AttemptFilter.Parts(
                 router,
-                transport,
+                noting(transport),
                 timers,
                 clock,
                 random,
@@ -125,6 +125,14 @@
     dispatchAll(event);
   }
 
+  /** Tells membership which members requests are sent to, so that it watches them. */
+  private AttemptTransport noting(AttemptTransport transport) {
+    return (to, x, listener) -> {
+      membership.used(to, clock.getAsLong());
+      return transport.start(to, x, listener);
+    };
+  }
+
   private void checkForPause() {
     if (!dispatching) {
       pauses.check(clock.getAsLong()).ifPresent(gap -> dispatchAll(new Event.Resumed(gap)));
