Give the poison test's targets a configuration

Cause: admission now takes its bounds from the document, so a test world without one had targets in cold start with one slot.

--- a/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/guard/GuardClaimTest.java
+++ b/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/guard/GuardClaimTest.java
@@ -6,7 +6,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import net.jqwik.api.Example;
@@ -21,10 +20,8 @@
 import org.pomelohollow.decision.config.VersionedDocument;
 import org.pomelohollow.decision.quarantine.QuarantineController;
 import org.pomelohollow.decision.quarantine.QuarantineSettings;
-import org.pomelohollow.document.Document;
-import org.pomelohollow.document.ServiceEntry;
-import org.pomelohollow.document.ZoneEntry;
 import org.pomelohollow.errors.ErrorCode;
+import org.pomelohollow.junit.Configurations;
 import org.pomelohollow.junit.ManualClock;
 import org.pomelohollow.junit.RecordedEffects;
 import org.pomelohollow.message.LogEntry;
@@ -60,18 +57,8 @@
   private int requests;
 
   GuardClaimTest() {
-    ZoneId z = new ZoneId("z");
-    Document d =
-        new Document(
-            "d",
-            List.of("p"),
-            Map.of(z, new ZoneEntry(z, "r", true)),
-            Map.of(),
-            List.of(),
-            Map.of(SERVICE, new ServiceEntry(SERVICE, 10, 10, 10)),
-            List.of());
-    admission.handle(
-        new Event.ConfigInForce(new VersionedDocument(1, "c", "", d)), clock.getAsLong());
+    VersionedDocument v = Configurations.oneService(SERVICE, new ZoneId("z"), 10);
+    admission.handle(new Event.ConfigInForce(v), clock.getAsLong());
     TargetAnnouncement a = new TargetAnnouncement(SERVICE, ADDRESS, "i", 10, 10, false, 0);
     admission.handle(new Event.TargetAnnounced(a), clock.getAsLong());
     startRing(1);
--- a/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/quarantine/PoisonWorld.java
+++ b/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/quarantine/PoisonWorld.java
@@ -12,6 +12,7 @@
 import org.pomelohollow.decision.TargetAnnouncement;
 import org.pomelohollow.decision.admission.AdmissionController;
 import org.pomelohollow.decision.admission.Completion;
+import org.pomelohollow.decision.admission.ThroughputLimit;
 import org.pomelohollow.decision.claim.ClaimController;
 import org.pomelohollow.decision.claim.ClaimSettings;
 import org.pomelohollow.decision.guard.Guard;
@@ -20,6 +21,7 @@
 import org.pomelohollow.decision.guard.RecordedAnswer;
 import org.pomelohollow.decision.guard.RunningCalls;
 import org.pomelohollow.errors.ErrorCode;
+import org.pomelohollow.junit.Configurations;
 import org.pomelohollow.model.Endpoint;
 import org.pomelohollow.model.Member;
 import org.pomelohollow.model.MemberId;
@@ -36,6 +38,8 @@
   static final long STEP_NANOS = 10_000_000L;
   static final long POISON = -1;
   private static final ServiceId SERVICE = new ServiceId("s");
+  private static final ZoneId ZONE = new ZoneId("a");
+  private static final int SLOTS = 20;
   private static final Endpoint ADDRESS = new Endpoint("127.0.0.1", 1);
   private static final int TARGETS = 3;
   private static final int RUN_STEPS = 3;
@@ -88,7 +92,7 @@
                     new Member(
                         d.id,
                         ADDRESS,
-                        new ZoneId("a"),
+                        ZONE,
                         d.up
                             ? Optional.of(new TargetState(SERVICE, 20, 20, false, false))
                             : Optional.empty(),
@@ -152,7 +156,8 @@
     final MemberId id;
     final QuarantineController quarantine;
     boolean up;
-    private final AdmissionController admission = new AdmissionController();
+    private final AdmissionController admission =
+        new AdmissionController(ZONE, new ThroughputLimit());
     private final Guard guard;
     private final List<Running> running = new ArrayList<>();
     private long upAtStep;
@@ -165,6 +170,7 @@
       ClaimController claims = new ClaimController(id, ClaimSettings.DEFAULT, e -> {});
       guard =
           new Guard(new Guard.Parts(admission, claims, quarantine, new RunningCalls(), () -> now));
+      handle(new Event.ConfigInForce(Configurations.oneService(SERVICE, ZONE, SLOTS)));
     }
 
     void handle(Event e) {
