--- a/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/Fleet.java
+++ b/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/Fleet.java
@@ -29,6 +29,8 @@
   static final String KEY = "a-key-for-tests";
   static final Duration PATIENCE = Duration.ofSeconds(20);
 
+  private static final int OK = 200;
+  private static final Duration SETTLED = Duration.ofSeconds(3);
   private static final Endpoint ANY = new Endpoint("127.0.0.1", 0);
 
   private final LoopResources loops = LoopResources.create("fleet", 1, true);
@@ -97,6 +99,22 @@
     }
   }
 
+  /**
+   * Waits until keyed requests have been served without a break for a while: a fleet that has just
+   * started still deals out the rates of its accounts.
+   */
+  static void awaitSettled(Daemon d, String path) {
+    long[] since = {System.nanoTime()};
+    await(
+        "steady service of " + path,
+        () -> {
+          if (status(d, path) != OK) {
+            since[0] = System.nanoTime();
+          }
+          return System.nanoTime() - since[0] > SETTLED.toNanos();
+        });
+  }
+
   static HttpRequest.Builder request(Daemon d, String path) {
     return HttpRequest.newBuilder(URI.create("http://" + d.callerAddress() + path))
         .timeout(PATIENCE)
@@ -169,6 +187,15 @@
     priority = "normal"
     idempotent = true
 
+    [[routes]]
+    name = "%1$s-open"
+    service = "%1$s"
+    methods = ["GET"]
+    path = "/%1$s/open"
+    priority = "normal"
+    idempotent = true
+    open = true
+
     [[routes]]
     name = "%1$s-write"
     service = "%1$s"
--- a/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/PathTest.java
+++ b/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/PathTest.java
@@ -32,6 +32,7 @@
     fleet = new Fleet().add("h1", "a", "front", "/back/below").add("h2", "b", "back");
     fleet.publish("c1", 0, Fleet.document(Fleet.service("front") + Fleet.service("back")));
     Fleet.await("calls reach both", () -> status("/back/x") == 200 && status("/front/x") == 200);
+    Fleet.awaitSettled(fleet.daemon(0), "/back/x");
   }
 
   @AfterAll
