--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/Daemon.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/Daemon.java
@@ -5,38 +5,39 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BiFunction;
 import java.util.function.BooleanSupplier;
 import org.pomelohollow.daemon.internal.call.CallHandler;
 import org.pomelohollow.daemon.internal.call.RunningRequests;
 import org.pomelohollow.daemon.internal.call.TargetClient;
 import org.pomelohollow.daemon.internal.call.TargetSide;
 import org.pomelohollow.daemon.internal.http.AdminServer;
+import org.pomelohollow.daemon.internal.http.CallerServer;
 import org.pomelohollow.daemon.internal.http.Entry;
 import org.pomelohollow.daemon.internal.http.Servers;
-import org.pomelohollow.daemon.internal.http.TargetServer;
 import org.pomelohollow.daemon.internal.link.LinkEvents;
 import org.pomelohollow.daemon.internal.link.Links;
 import org.pomelohollow.daemon.internal.log.LogPump;
+import org.pomelohollow.daemon.protocol.Deployment;
+import org.pomelohollow.daemon.protocol.InboundHandler;
 import org.pomelohollow.daemon.settings.Settings;
 import org.pomelohollow.decision.Effect;
 import org.pomelohollow.decision.Event;
 import org.pomelohollow.decision.Node;
+import org.pomelohollow.decision.request.Exchange;
 import org.pomelohollow.errors.PomelohollowException;
 import org.pomelohollow.message.PeerMessage;
 import org.pomelohollow.model.Endpoint;
 import org.pomelohollow.model.Member;
 import org.pomelohollow.model.MemberId;
-import org.pomelohollow.wire.HttpLogClient;
+import org.pomelohollow.model.Verdict;
 import org.pomelohollow.wire.WireCodec;
-import org.reactivestreams.Publisher;
 import org.tinylog.Logger;
+import reactor.core.Disposable;
+import reactor.core.Disposables;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
 import reactor.core.scheduler.Schedulers;
 import reactor.netty.DisposableServer;
-import reactor.netty.http.server.HttpServerRequest;
-import reactor.netty.http.server.HttpServerResponse;
 import reactor.netty.resources.LoopResources;
 
 /** A daemon: the decisions of one node on one event loop, and the I/O around them. */
@@ -55,7 +56,8 @@
   private final WireCodec codec = new WireCodec();
   private final DaemonMetrics metrics = new DaemonMetrics();
   private final RunningRequests running = new RunningRequests();
-  private final TargetClient target = new TargetClient(loops, loop);
+  private final Deployment deployment;
+  private final TargetClient target;
   private final MemberId self;
   private final Entry entry;
   private final Links links;
@@ -64,10 +66,15 @@
   private DisposableServer callerServer;
   private DisposableServer targetServer;
   private DisposableServer adminServer;
+  private Optional<DisposableServer> readinessServer = Optional.empty();
+  private Disposable documents = Disposables.disposed();
   private Node node;
+  private boolean leaving;
 
-  private Daemon(Settings settings) {
+  private Daemon(Settings settings, Deployment deployment) {
     this.settings = settings;
+    this.deployment = deployment;
+    this.target = new TargetClient(loops, deployment.targets(), this::targetUnreachable);
     this.self = new MemberId(settings.host(), System.currentTimeMillis());
     this.entry =
         new Entry(
@@ -75,7 +82,8 @@
             running,
             System::nanoTime,
             settings.limits().maxBodyBytes(),
-            metrics::requestEnded);
+            deployment.callers(),
+            this::requestEnded);
     this.links =
         new Links(
             self,
@@ -86,7 +94,7 @@
             new PeerEvents(),
             m -> node.membership().addressOf(m));
     this.log =
-        new LogPump(new HttpLogClient(settings.log(), loops, codec), codec, loop, this::handle);
+        new LogPump(deployment.log(loops, codec), codec, loop, deployment.streams(), this::handle);
     this.watch = new TargetWatch(target, settings.limits().announceTimeout(), this::handle);
   }
 
@@ -99,7 +107,20 @@
    *     org.pomelohollow.errors.ErrorCode#ADDRESS_UNAVAILABLE} if it cannot listen
    */
   public static Daemon start(Settings settings) {
-    Daemon d = new Daemon(settings);
+    return start(settings, new StandaloneDeployment(settings));
+  }
+
+  /**
+   * Starts a daemon.
+   *
+   * @param settings its settings; port 0 takes any free port
+   * @param deployment what it meets outside
+   * @return the running daemon
+   * @throws org.pomelohollow.errors.PomelohollowException with {@link
+   *     org.pomelohollow.errors.ErrorCode#ADDRESS_UNAVAILABLE} if it cannot listen
+   */
+  public static Daemon start(Settings settings, Deployment deployment) {
+    Daemon d = new Daemon(settings, deployment);
     try {
       d.listen();
     } catch (PomelohollowException e) {
@@ -155,10 +176,12 @@
   @Override
   public void close() {
     log.stop();
+    documents.dispose();
     links.close();
     disposeServer(callerServer);
     disposeServer(targetServer);
     disposeServer(adminServer);
+    readinessServer.ifPresent(Daemon::disposeServer);
     loops.disposeLater(Duration.ZERO, CLOSE_TIMEOUT).block(CLOSE_TIMEOUT.multipliedBy(2));
     metrics.close();
   }
@@ -169,7 +192,7 @@
     Member me = new Member(self, peer, settings.zone(), Optional.empty(), false);
     node =
         new Node(
-            new Node.Setup(me, settings.seeds()),
+            new Node.Setup(me, settings.seeds(), deployment.terms()),
             entry,
             System::nanoTime,
             new SplittableRandom(self.hashCode()),
@@ -177,23 +200,42 @@
     CallHandler here = targetSide();
     entry.open(node, m -> m.equals(self) ? here : (h, b, s) -> links.call(m, h, b, s));
     callerServer = server(settings.listen().caller(), entry::fromCaller);
-    TargetServer ts = new TargetServer(entry, watch);
-    targetServer = server(settings.listen().target(), ts::serve);
+    targetServer =
+        server(settings.listen().target(), deployment.targetSide(entry::fromTarget, watch));
+    readinessServer =
+        settings.platform().map(p -> server(p.readiness(), deployment.readiness(this::isReady)));
     AdminServer as = new AdminServer(metrics.registry(), node::dump, node.config()::inForce);
-    adminServer = server(settings.listen().admin(), as::serve);
+    adminServer =
+        Servers.start(
+            settings.listen().admin(),
+            loops,
+            settings.limits().maxHeaderBytes(),
+            settings.limits().idleTimeout(),
+            as::serve);
     metrics.watch(node.admission()::load, links::count, node.config()::version);
     handle(new Event.RosterChanged(node.membership().roster()));
     log.start();
+    documents = deployment.followDocuments(loop, this::handle);
     every(TICK, this::tick);
     every(LIVENESS_CHECK, links::checkLiveness);
     Logger.info(
         "daemon: {} in {} listens on {} for callers", self, settings.zone(), callerAddress());
   }
 
-  private DisposableServer server(
-      Endpoint a, BiFunction<HttpServerRequest, HttpServerResponse, Publisher<Void>> handler) {
-    return Servers.start(
-        a, loops, settings.limits().maxHeaderBytes(), settings.limits().idleTimeout(), handler);
+  private DisposableServer server(Endpoint a, InboundHandler handler) {
+    return CallerServer.start(a, loops, settings.limits(), () -> leaving, handler);
+  }
+
+  private boolean isReady() {
+    return !leaving && node.config().inForce().isPresent();
+  }
+
+  private void targetUnreachable() {
+    watch.unreachable();
+  }
+
+  private void requestEnded(Exchange x, Verdict v, long nowNanos) {
+    metrics.requestEnded(v, nowNanos - x.arrivedNanos());
   }
 
   private TargetSide targetSide() {
@@ -218,7 +260,7 @@
 
   private void leave() {
     Logger.info("daemon: stopping, {} requests under way", entry.count() + running.count());
-    entry.leave();
+    leaving = true;
     handle(new Event.Stopping());
   }
 
--- /dev/null
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/StandaloneDeployment.java
@@ -0,0 +1,81 @@
+package org.pomelohollow.daemon;
+
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.util.EnumSet;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.pomelohollow.daemon.internal.call.ProductTarget;
+import org.pomelohollow.daemon.internal.http.ProductCallers;
+import org.pomelohollow.daemon.internal.http.TargetServer;
+import org.pomelohollow.daemon.protocol.CallerProtocol;
+import org.pomelohollow.daemon.protocol.Deployment;
+import org.pomelohollow.daemon.protocol.InboundHandler;
+import org.pomelohollow.daemon.protocol.Replies;
+import org.pomelohollow.daemon.protocol.TargetEvents;
+import org.pomelohollow.daemon.protocol.TargetProtocol;
+import org.pomelohollow.daemon.settings.Settings;
+import org.pomelohollow.decision.Event;
+import org.pomelohollow.decision.NodeTerms;
+import org.pomelohollow.message.LogStream;
+import org.pomelohollow.wire.HttpLogClient;
+import org.pomelohollow.wire.LogClient;
+import org.pomelohollow.wire.WireCodec;
+import reactor.core.Disposable;
+import reactor.core.Disposables;
+import reactor.core.scheduler.Scheduler;
+import reactor.netty.resources.LoopResources;
+
+/** A daemon on its own: the product's protocols on all sides. */
+final class StandaloneDeployment implements Deployment {
+  private final Settings settings;
+
+  StandaloneDeployment(Settings settings) {
+    this.settings = settings;
+  }
+
+  @Override
+  public CallerProtocol callers() {
+    return new ProductCallers();
+  }
+
+  @Override
+  public TargetProtocol targets() {
+    return new ProductTarget();
+  }
+
+  @Override
+  public NodeTerms terms() {
+    return NodeTerms.STANDARD;
+  }
+
+  @Override
+  public Set<LogStream> streams() {
+    return EnumSet.allOf(LogStream.class);
+  }
+
+  @Override
+  public LogClient log(LoopResources loops, WireCodec codec) {
+    return new HttpLogClient(settings.log(), loops, codec);
+  }
+
+  @Override
+  public InboundHandler targetSide(InboundHandler outbound, TargetEvents events) {
+    return new TargetServer(outbound, events);
+  }
+
+  @Override
+  public InboundHandler readiness(BooleanSupplier ready) {
+    return in ->
+        in.answer(
+            Replies.empty(
+                ready.getAsBoolean()
+                    ? HttpResponseStatus.NO_CONTENT
+                    : HttpResponseStatus.SERVICE_UNAVAILABLE));
+  }
+
+  @Override
+  public Disposable followDocuments(Scheduler loop, Consumer<Event> events) {
+    return Disposables.disposed();
+  }
+}
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/TargetWatch.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/TargetWatch.java
@@ -4,13 +4,13 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.pomelohollow.daemon.internal.call.TargetClient;
-import org.pomelohollow.daemon.internal.http.TargetServer;
+import org.pomelohollow.daemon.protocol.TargetEvents;
 import org.pomelohollow.decision.Event;
 import org.pomelohollow.decision.TargetAnnouncement;
 import org.tinylog.Logger;
 
 /** Follows the announcements of the target. */
-final class TargetWatch implements TargetServer.TargetEvents {
+final class TargetWatch implements TargetEvents {
   private final TargetClient client;
   private final long timeoutNanos;
   private final Consumer<Event> events;
@@ -25,13 +25,18 @@
 
   @Override
   public void announced(TargetAnnouncement a) {
-    boolean first = last.filter(l -> l.instance().equals(a.instance())).isEmpty();
-    if (first) {
-      Logger.info("target: {} announced at {} with {} slots", a.service(), a.address(), a.slots());
+    if (last.filter(a::isSameRun).isEmpty()) {
+      Logger.info(
+          "target: {} of {} announced at {} with {} slots, cold for {} ms",
+          a.instance(),
+          a.service(),
+          a.address(),
+          a.slots(),
+          a.coldMillis());
     }
     last = Optional.of(a);
     lastNanos = System.nanoTime();
-    client.setTarget(a.address(), a.connections());
+    client.setTarget(a);
     events.accept(new Event.TargetAnnounced(a));
   }
 
@@ -42,12 +47,20 @@
     events.accept(new Event.TargetWithdrawn());
   }
 
+  /** The target takes no connection, or another one has its address. */
+  void unreachable() {
+    last.ifPresent(a -> lose(a, "not reachable at its address"));
+  }
+
   void check(long nowNanos) {
     if (last.isPresent() && nowNanos - lastNanos > timeoutNanos) {
-      Logger.warn("target: no announcement for {} ms", (nowNanos - lastNanos) / 1_000_000);
-      TargetAnnouncement lost = last.get();
-      last = Optional.empty();
-      events.accept(new Event.TargetLost(lost.service()));
+      lose(last.get(), "silent for " + Duration.ofNanos(nowNanos - lastNanos).toMillis() + " ms");
     }
   }
+
+  private void lose(TargetAnnouncement a, String why) {
+    Logger.warn("target: {} lost: {}", a.instance(), why);
+    last = Optional.empty();
+    events.accept(new Event.TargetLost(a.service()));
+  }
 }
--- /dev/null
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/ProductTarget.java
@@ -0,0 +1,51 @@
+package org.pomelohollow.daemon.internal.call;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.pomelohollow.daemon.protocol.HeaderRules;
+import org.pomelohollow.daemon.protocol.TargetProtocol;
+import org.pomelohollow.decision.TargetAnnouncement;
+import org.pomelohollow.model.HeaderField;
+import org.pomelohollow.model.RequestContext;
+import org.pomelohollow.wire.Headers;
+
+/** The product's own protocol towards targets. */
+public final class ProductTarget implements TargetProtocol {
+  private static final String NOT_RUN = "not-run";
+
+  @Override
+  public void completeRequest(
+      HttpHeaders out, RequestContext c, long remainingMillis, TargetAnnouncement target) {
+    out.set(Headers.REQUEST_ID, c.requestId());
+    out.set(Headers.TIMEOUT_MILLIS, Long.toString(remainingMillis));
+  }
+
+  @Override
+  public Meaning judge(HttpResponse r, HttpHeaders sent) {
+    String id = r.headers().get(Headers.REQUEST_ID);
+    if (id != null && !id.equals(sent.get(Headers.REQUEST_ID))) {
+      return new Meaning.Foreign();
+    }
+    boolean shed =
+        r.status().equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
+            && NOT_RUN.equals(r.headers().get(Headers.VERDICT));
+    return shed ? new Meaning.NotRun(retryAfterMillis(r.headers())) : new Meaning.Answer();
+  }
+
+  @Override
+  public List<HeaderField> forCaller(HttpHeaders h) {
+    return HeaderRules.forCaller(h);
+  }
+
+  private static long retryAfterMillis(HttpHeaders h) {
+    try {
+      return TimeUnit.SECONDS.toMillis(Long.parseLong(h.get(HttpHeaderNames.RETRY_AFTER, "0")));
+    } catch (NumberFormatException e) {
+      return 0; // Not in seconds: the target names no time that this daemon understands.
+    }
+  }
+}
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetCall.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetCall.java
@@ -20,7 +20,7 @@
 import reactor.core.publisher.Flux;
 
 /** One call at the target of this host. */
-final class TargetCall implements GuardListener, TargetClient.Listener {
+final class TargetCall implements GuardListener, TargetListener {
   private final Node node;
   private final TargetClient client;
   private final RunningRequests running;
@@ -100,7 +100,7 @@
   }
 
   @Override
-  public void answered(int status, TargetClient.Answer answer) {
+  public void answered(int status, TargetListener.Answer answer) {
     if (over) {
       answer.body().subscribe(ByteBuf::release);
       return;
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetClient.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetClient.java
@@ -1,87 +1,86 @@
 package org.pomelohollow.daemon.internal.call;
 
+import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import java.time.Duration;
-import java.util.List;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.Optional;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
+import org.pomelohollow.daemon.protocol.TargetProtocol;
+import org.pomelohollow.decision.TargetAnnouncement;
 import org.pomelohollow.errors.ErrorCode;
-import org.pomelohollow.model.Endpoint;
-import org.pomelohollow.model.HeaderField;
 import org.pomelohollow.model.RequestContext;
 import org.pomelohollow.wire.CallHead;
-import org.pomelohollow.wire.Headers;
-import org.reactivestreams.Publisher;
+import org.tinylog.Logger;
 import reactor.core.Disposable;
 import reactor.core.publisher.Flux;
-import reactor.core.publisher.Mono;
-import reactor.core.publisher.Sinks;
-import reactor.core.scheduler.Scheduler;
-import reactor.netty.ByteBufFlux;
-import reactor.netty.NettyOutbound;
-import reactor.netty.http.client.HttpClient;
-import reactor.netty.http.client.HttpClientRequest;
-import reactor.netty.http.client.HttpClientResponse;
-import reactor.netty.resources.ConnectionProvider;
 import reactor.netty.resources.LoopResources;
 
-/** Hands requests to the target over HTTP/1.1. A request is sent at most once. */
+/**
+ * Hands requests to the target over HTTP/1.1. A request is sent at most once: neither a connection
+ * that was closed under it nor a lost answer leads to another send.
+ */
 public final class TargetClient {
-  private static final int UNAVAILABLE = 503;
   private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
-  private static final Duration MAX_IDLE = Duration.ofSeconds(5);
 
-  private final LoopResources loops;
-  private final Scheduler loop;
-  private Optional<Connected> target = Optional.empty();
+  /** Targets close connections that were idle for longer than 10 s; half of it is safe. */
+  private static final long MAX_IDLE_NANOS = Duration.ofSeconds(5).toNanos();
+
+  private static final int MAX_HEADER_BYTES = 64 * 1024;
+  private static final int MAX_CHUNK_BYTES = 64 * 1024;
+  private static final HttpDecoderConfig DECODER =
+      new HttpDecoderConfig()
+          .setMaxInitialLineLength(MAX_HEADER_BYTES)
+          .setMaxHeaderSize(MAX_HEADER_BYTES)
+          .setMaxChunkSize(MAX_CHUNK_BYTES);
+
+  private final EventLoop loop;
+  private final Class<? extends SocketChannel> channelClass;
+  private final TargetProtocol protocol;
+  private final Runnable unreachable;
+  private final Deque<TargetConnection> idle = new ArrayDeque<>();
+  private Optional<TargetAnnouncement> target = Optional.empty();
 
   /**
    * Creates a client without a target.
    *
    * @param loops event loops with one worker
-   * @param loop the same worker as a scheduler
+   * @param protocol what the target speaks
+   * @param unreachable told when the target does not take a new connection, or is another one
    */
-  public TargetClient(LoopResources loops, Scheduler loop) {
-    this.loops = loops;
-    this.loop = loop;
+  public TargetClient(LoopResources loops, TargetProtocol protocol, Runnable unreachable) {
+    this.loop = loops.onServer(true).next();
+    this.channelClass = loops.onChannelClass(SocketChannel.class, loops.onServer(true));
+    this.protocol = protocol;
+    this.unreachable = unreachable;
   }
 
   /**
    * Sets the target. Requests under way are not touched.
    *
-   * @param address where it takes requests
-   * @param connections most connections to it
+   * @param a what it said of itself
    */
-  public void setTarget(Endpoint address, int connections) {
-    if (target.filter(t -> t.address.equals(address) && t.connections == connections).isPresent()) {
-      return;
+  public void setTarget(TargetAnnouncement a) {
+    boolean same =
+        target.filter(t -> t.isSameRun(a) && t.address().equals(a.address())).isPresent();
+    if (!same) {
+      closeIdle();
     }
-    target.ifPresent(t -> t.pool.disposeLater().subscribe());
-    ConnectionProvider pool =
-        ConnectionProvider.builder("target")
-            .maxConnections(connections)
-            .pendingAcquireMaxCount(-1)
-            .maxIdleTime(MAX_IDLE)
-            .lifo()
-            .build();
-    HttpClient http =
-        HttpClient.create(pool)
-            .runOn(loops)
-            .disableRetry(true)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) CONNECT_TIMEOUT.toMillis())
-            .baseUrl("http://" + address);
-    target = Optional.of(new Connected(address, connections, pool, http));
+    target = Optional.of(a);
   }
 
   /** Forgets the target and closes connections that are not in use. */
   public void clearTarget() {
-    target.ifPresent(t -> t.pool.disposeLater().subscribe());
+    closeIdle();
     target = Optional.empty();
   }
 
@@ -95,153 +94,112 @@
    * @return cuts the exchange when disposed; nothing is told afterwards
    */
   public Disposable exchange(
-      CallHead head, RequestContext context, Flux<ByteBuf> body, Listener listener) {
+      CallHead head, RequestContext context, Flux<ByteBuf> body, TargetListener listener) {
+    TargetExchange x = new TargetExchange(head, context, body, protocol, listener);
     if (target.isEmpty()) {
-      return loop.schedule(() -> listener.failed(false, ErrorCode.NO_TARGET));
+      loop.execute(() -> x.fail(false, ErrorCode.NO_TARGET, "no target"));
+      return x::abandon;
     }
-    Exchange x = new Exchange(head, context, body, listener);
-    Mono<Void> run =
-        target
-            .get()
-            .http
-            .doOnRequest((r, c) -> x.reached = true)
-            .request(HttpMethod.valueOf(head.method()))
-            .uri(head.uri())
-            .send(x::send)
-            .response(x::receive)
-            .then();
-    Disposable running =
-        run.subscribeOn(loop).doFinally(s -> x.timer.dispose()).subscribe(v -> {}, x::fail);
-    Runnable expire =
-        () -> {
-          x.fail(new TimeoutException());
-          running.dispose();
-        };
+    Run run = new Run(x, target.get());
+    loop.execute(run::start);
     long left = Math.max(1, context.remainingNanos(System.nanoTime()));
-    x.timer = loop.schedule(expire, left, TimeUnit.NANOSECONDS);
-    return running;
+    run.timer = loop.schedule(run::expire, left, TimeUnit.NANOSECONDS);
+    return run::cancel;
   }
 
-  /** Hears the outcome of an exchange. */
-  public interface Listener {
-    /**
-     * The head of the answer is here.
-     *
-     * @param status its status
-     * @param answer the rest
-     */
-    void answered(int status, Answer answer);
-
-    /**
-     * The target refused in the form of its contract: it has not run the request.
-     *
-     * @param retryAfterMillis time that it named, in milliseconds, 0 if none
-     */
-    void shed(long retryAfterMillis);
-
-    /**
-     * There is no answer.
-     *
-     * @param reached whether some of the request may have reached the target
-     * @param code what happened
-     */
-    void failed(boolean reached, ErrorCode code);
+  private Optional<TargetConnection> takeIdle() {
+    long now = System.nanoTime();
+    while (!idle.isEmpty()) {
+      TargetConnection c = idle.removeLast();
+      if (c.isUsable() && now - c.idleSinceNanos() < MAX_IDLE_NANOS) {
+        return Optional.of(c);
+      }
+      c.close();
+    }
+    return Optional.empty();
   }
 
-  /**
-   * Rest of an answer.
-   *
-   * @param headers fields for the caller
-   * @param body body; each buffer is handed over to the subscriber
-   */
-  public record Answer(List<HeaderField> headers, Flux<ByteBuf> body) {}
-
-  private record Connected(
-      Endpoint address, int connections, ConnectionProvider pool, HttpClient http) {}
-
-  /** One request and its answer. */
-  private static final class Exchange {
-    private final CallHead head;
-    private final RequestContext context;
-    private final Flux<ByteBuf> body;
-    private final Listener listener;
-    private Disposable timer = () -> {};
-    private boolean reached;
-    private boolean settled;
-
-    Exchange(CallHead head, RequestContext context, Flux<ByteBuf> body, Listener listener) {
-      this.head = head;
-      this.context = context;
-      this.body = body;
-      this.listener = listener;
-    }
+  private void closeIdle() {
+    idle.forEach(TargetConnection::close);
+    idle.clear();
+  }
 
-    Publisher<Void> send(HttpClientRequest r, NettyOutbound out) {
-      HttpHeaders h = r.requestHeaders();
-      h.remove(HttpHeaderNames.USER_AGENT);
-      h.remove(HttpHeaderNames.ACCEPT);
-      h.remove(HttpHeaderNames.HOST);
-      head.headers().forEach(f -> h.add(f.name(), f.value()));
-      h.set(Headers.REQUEST_ID, context.requestId());
-      long left = TimeUnit.NANOSECONDS.toMillis(context.remainingNanos(System.nanoTime()));
-      h.set(Headers.TIMEOUT_MILLIS, Long.toString(Math.max(1, left)));
-      if (head.streamedLength().isPresent()) {
-        return out.send(body);
-      }
-      if (head.body().length() == 0) {
-        return out.then();
-      }
-      h.set(HttpHeaderNames.CONTENT_LENGTH, Integer.toString(head.body().length()));
-      return out.send(Mono.just(Unpooled.wrappedBuffer(head.body().array())));
+  private void released(TargetConnection c, TargetAnnouncement to) {
+    if (target.filter(to::isSameRun).isPresent()) {
+      idle.addLast(c);
+    } else {
+      c.close();
     }
+  }
 
-    Publisher<Void> receive(HttpClientResponse r, ByteBufFlux content) {
-      if (isForeign(r)) {
-        fail(new IllegalStateException("answer of another request"));
-        return Mono.error(new IllegalStateException("answer of another request"));
-      }
-      settled = true;
-      if (isShed(r)) {
-        listener.shed(retryAfterMillis(r));
-        return content.then();
-      }
-      Sinks.Empty<Void> done = Sinks.empty();
-      Flux<ByteBuf> answer = content.retain().doFinally(s -> done.tryEmitEmpty());
-      listener.answered(
-          r.status().code(), new Answer(HeaderRules.forCaller(r.responseHeaders()), answer));
-      return done.asMono();
+  private ChannelFuture connect(TargetConnection c, TargetAnnouncement to) {
+    return new Bootstrap()
+        .group(loop)
+        .channel(channelClass)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) CONNECT_TIMEOUT.toMillis())
+        .handler(
+            new ChannelInitializer<SocketChannel>() {
+              @Override
+              protected void initChannel(SocketChannel ch) {
+                ch.pipeline().addLast(new HttpClientCodec(DECODER, false, false)).addLast(c);
+              }
+            })
+        .connect(to.address().address(), to.address().port());
+  }
+
+  /** One exchange from the search for a connection to its end. */
+  private final class Run {
+    private final TargetExchange exchange;
+    private final TargetAnnouncement to;
+    private Optional<TargetConnection> connection = Optional.empty();
+    private ScheduledFuture<?> timer;
+
+    Run(TargetExchange exchange, TargetAnnouncement to) {
+      this.exchange = exchange;
+      this.to = to;
     }
 
-    void fail(Throwable t) {
-      if (settled) {
+    void start() {
+      if (exchange.isOver()) {
+        return;
+      }
+      Optional<TargetConnection> free = takeIdle();
+      if (free.isPresent()) {
+        send(free.get());
         return;
       }
-      settled = true;
-      listener.failed(
-          reached, t instanceof TimeoutException ? ErrorCode.DEADLINE_EXCEEDED : code());
+      TargetConnection c = new TargetConnection(done -> released(done, to), unreachable);
+      connect(c, to).addListener((ChannelFuture f) -> connected(c, f));
     }
 
-    private ErrorCode code() {
-      return reached ? ErrorCode.CONNECTION_LOST : ErrorCode.UNREACHABLE;
+    void expire() {
+      connection.ifPresent(c -> c.abandon(exchange));
+      exchange.fail(connection.isPresent(), ErrorCode.DEADLINE_EXCEEDED, "out of time");
     }
 
-    private boolean isForeign(HttpClientResponse r) {
-      String id = r.responseHeaders().get(Headers.REQUEST_ID);
-      return id != null && !id.equals(context.requestId());
+    void cancel() {
+      timer.cancel(false);
+      exchange.abandon();
+      connection.ifPresent(c -> c.abandon(exchange));
     }
 
-    private static boolean isShed(HttpClientResponse r) {
-      return r.status().code() == UNAVAILABLE
-          && "not-run".equals(r.responseHeaders().get(Headers.VERDICT));
+    private void connected(TargetConnection c, ChannelFuture f) {
+      if (!f.isSuccess()) {
+        Logger.info("target: no connection: {}", f.cause().toString());
+        timer.cancel(false);
+        exchange.fail(false, ErrorCode.UNREACHABLE, "no connection");
+        unreachable.run();
+      } else if (exchange.isOver()) {
+        idle.addLast(c);
+      } else {
+        send(c);
+      }
     }
 
-    private static long retryAfterMillis(HttpClientResponse r) {
-      try {
-        return TimeUnit.SECONDS.toMillis(
-            Long.parseLong(r.responseHeaders().get(HttpHeaderNames.RETRY_AFTER, "0")));
-      } catch (NumberFormatException e) {
-        return 0;
-      }
+    private void send(TargetConnection c) {
+      connection = Optional.of(c);
+      c.send(exchange, to, System.nanoTime(), () -> timer.cancel(false));
     }
   }
 }
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/CallerCall.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/CallerCall.java
@@ -1,12 +1,21 @@
 package org.pomelohollow.daemon.internal.http;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
 import java.util.List;
 import java.util.Optional;
 import org.pomelohollow.daemon.internal.call.AnswerSink;
 import org.pomelohollow.daemon.internal.call.CallHandler;
+import org.pomelohollow.daemon.protocol.CallerProtocol;
+import org.pomelohollow.daemon.protocol.Inbound;
+import org.pomelohollow.daemon.protocol.RequestBody;
 import org.pomelohollow.decision.attempt.AttemptListener;
 import org.pomelohollow.decision.request.Exchange;
 import org.pomelohollow.decision.request.ExchangeListener;
@@ -17,51 +26,37 @@
 import org.pomelohollow.wire.AnswerHead;
 import org.pomelohollow.wire.Bytes;
 import org.pomelohollow.wire.CallHead;
-import org.pomelohollow.wire.Headers;
-import org.reactivestreams.Publisher;
+import reactor.core.Disposable;
 import reactor.core.publisher.Flux;
-import reactor.core.publisher.Mono;
-import reactor.core.publisher.Sinks;
-import reactor.netty.DisposableChannel;
-import reactor.netty.http.server.HttpServerRequest;
-import reactor.netty.http.server.HttpServerResponse;
 
 /** One request of a caller, or one outbound call of the target, at its entry daemon. */
 final class CallerCall implements ExchangeListener {
-  private final HttpServerRequest req;
-  private final HttpServerResponse res;
+  /** Greatest answer that is collected before its head goes out, so that it can be tried again. */
+  private static final long WHOLE_ANSWER_BYTES = 256 * 1024;
+
+  private final Inbound in;
+  private final CallerProtocol protocol;
   private final String requestId;
   private final List<HeaderField> headers;
   private final RequestBody body;
-  private final Sinks.One<Publisher<Void>> reply = Sinks.one();
   private boolean answered;
 
-  CallerCall(
-      HttpServerRequest req,
-      HttpServerResponse res,
-      String requestId,
-      List<HeaderField> headers,
-      RequestBody body) {
-    this.req = req;
-    this.res = res;
+  CallerCall(Inbound in, CallerProtocol protocol, String requestId, List<HeaderField> headers) {
+    this.in = in;
+    this.protocol = protocol;
     this.requestId = requestId;
     this.headers = headers;
-    this.body = body;
-  }
-
-  /** Returns what is sent to the caller, once it is known. */
-  Mono<Void> reply() {
-    return reply.asMono().flatMap(Mono::from);
+    this.body = in.body();
   }
 
   @Override
   public void refused(Verdict verdict) {
     if (answered) {
-      res.withConnection(DisposableChannel::dispose);
+      in.cut();
       return;
     }
     answered = true;
-    reply.tryEmitValue(Problems.send(res, requestId, verdict));
+    in.answer(protocol.refusal(requestId, verdict));
   }
 
   /**
@@ -84,26 +79,49 @@
             x.context(),
             nowNanos,
             x.route().bulk(),
-            req.method().name(),
-            req.uri(),
+            in.head().method().name(),
+            in.head().uri(),
             headers,
             streamed.map(f -> body.length()),
             Bytes.of(body.whole()));
-    return handler.call(head, streamed.orElse(Flux.empty()), new Answers(l));
+    Answers answers = new Answers(l);
+    Runnable abandon = handler.call(head, streamed.orElse(Flux.empty()), answers);
+    return () -> {
+      answers.collecting.dispose();
+      abandon.run();
+    };
   }
 
-  private Publisher<Void> send(AnswerHead head, Flux<ByteBuf> content) {
-    res.status(head.status());
-    head.headers().forEach(f -> res.addHeader(f.name(), f.value()));
-    res.header(Headers.VERDICT, "ran").header(Headers.REQUEST_ID, requestId);
+  private void send(AnswerHead head, Flux<ByteBuf> content) {
     if (hasNoBody(head.status())) {
-      return content.doOnNext(ByteBuf::release).then(res.send().then());
+      content.subscribe(ByteBuf::release, t -> {});
+      sendWhole(head, Unpooled.EMPTY_BUFFER);
+      return;
     }
-    return res.send(content);
+    HttpResponse r =
+        new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(head.status()));
+    complete(r, head);
+    in.answer(r, content);
+  }
+
+  private void sendWhole(AnswerHead head, ByteBuf content) {
+    DefaultFullHttpResponse r =
+        new DefaultFullHttpResponse(
+            HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(head.status()), content);
+    complete(r, head);
+    if (!hasNoBody(head.status())) {
+      r.headers().set(HttpHeaderNames.CONTENT_LENGTH, Integer.toString(content.readableBytes()));
+    }
+    in.answer(r);
+  }
+
+  private void complete(HttpResponse r, AnswerHead head) {
+    head.headers().forEach(f -> r.headers().add(f.name(), f.value()));
+    protocol.completeAnswer(r.headers(), requestId);
   }
 
   private boolean hasNoBody(int status) {
-    return req.method().equals(HttpMethod.HEAD)
+    return in.head().method().equals(HttpMethod.HEAD)
         || status == HttpResponseStatus.NO_CONTENT.code()
         || status == HttpResponseStatus.NOT_MODIFIED.code();
   }
@@ -111,6 +129,7 @@
   /** Takes the outcome of one attempt. */
   private final class Answers implements AnswerSink {
     private final AttemptListener listener;
+    private Disposable collecting = () -> {};
 
     Answers(AttemptListener listener) {
       this.listener = listener;
@@ -120,21 +139,64 @@
     public void answered(AnswerHead head, Flux<ByteBuf> content) {
       if (answered) {
         content.subscribe(ByteBuf::release).dispose();
+      } else if (isShort(head)) {
+        collect(head, content);
+      } else {
+        pass(head, content);
+      }
+    }
+
+    @Override
+    public void refused(Verdict verdict, Optional<TargetLoad> load) {
+      listener.refused(verdict, load);
+    }
+
+    private void collect(AnswerHead head, Flux<ByteBuf> content) {
+      ByteBuf whole = Unpooled.buffer();
+      collecting =
+          content.subscribe(
+              b -> {
+                whole.writeBytes(b);
+                b.release();
+              },
+              t ->
+                  listener.refused(
+                      new Verdict.MayHaveRun(ErrorCode.CONNECTION_LOST), Optional.of(head.load())),
+              () -> collected(head, whole));
+    }
+
+    private void collected(AnswerHead head, ByteBuf whole) {
+      if (answered) {
         return;
       }
       answered = true;
       listener.answered(head.load());
-      Flux<ByteBuf> told =
+      sendWhole(head, whole);
+      listener.ended(true);
+    }
+
+    private void pass(AnswerHead head, Flux<ByteBuf> content) {
+      answered = true;
+      listener.answered(head.load());
+      send(
+          head,
           content
               .doOnComplete(() -> listener.ended(true))
               .doOnError(t -> listener.ended(false))
-              .doOnCancel(() -> listener.ended(false));
-      reply.tryEmitValue(send(head, told));
+              .doOnCancel(() -> listener.ended(false)));
     }
 
-    @Override
-    public void refused(Verdict verdict, Optional<TargetLoad> load) {
-      listener.refused(verdict, load);
+    private boolean isShort(AnswerHead head) {
+      return head.headers().stream()
+          .filter(f -> f.name().equalsIgnoreCase(HttpHeaderNames.CONTENT_LENGTH.toString()))
+          .findFirst()
+          .filter(f -> f.value().length() <= 9 && isDigits(f.value()))
+          .filter(f -> Long.parseLong(f.value()) <= WHOLE_ANSWER_BYTES)
+          .isPresent();
+    }
+
+    private static boolean isDigits(String s) {
+      return !s.isEmpty() && s.chars().allMatch(c -> c >= '0' && c <= '9');
     }
   }
 }
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/Entry.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/Entry.java
@@ -1,9 +1,5 @@
 package org.pomelohollow.daemon.internal.http;
 
-import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Map;
@@ -11,40 +7,33 @@
 import java.util.function.Function;
 import java.util.function.LongSupplier;
 import org.pomelohollow.daemon.internal.call.CallHandler;
-import org.pomelohollow.daemon.internal.call.HeaderRules;
 import org.pomelohollow.daemon.internal.call.RunningRequests;
+import org.pomelohollow.daemon.protocol.CallerProtocol;
+import org.pomelohollow.daemon.protocol.CallerRequest;
+import org.pomelohollow.daemon.protocol.Inbound;
+import org.pomelohollow.daemon.protocol.RequestBody;
 import org.pomelohollow.decision.Node;
 import org.pomelohollow.decision.attempt.AttemptListener;
 import org.pomelohollow.decision.attempt.AttemptTransport;
 import org.pomelohollow.decision.request.Exchange;
 import org.pomelohollow.decision.request.RequestHead;
 import org.pomelohollow.errors.ErrorCode;
-import org.pomelohollow.errors.PomelohollowException;
 import org.pomelohollow.model.MemberId;
 import org.pomelohollow.model.RequestContext;
 import org.pomelohollow.model.Verdict;
 import org.pomelohollow.wire.Headers;
-import org.reactivestreams.Publisher;
-import reactor.core.publisher.Flux;
-import reactor.core.publisher.Mono;
-import reactor.netty.http.server.HttpServerRequest;
-import reactor.netty.http.server.HttpServerResponse;
+import org.tinylog.Logger;
 
 /** Takes requests from HTTP into the filter chain, and their attempts out of it. */
 public final class Entry implements AttemptTransport {
-  /** Greatest body that is read before the chain starts, in bytes. */
-  private static final int WHOLE_BODY_BYTES = 16 * 1024;
-
-  private static final String BEARER = "Bearer ";
-
   private final RequestIds ids;
   private final RunningRequests running;
   private final LongSupplier clock;
   private final long maxBodyBytes;
+  private final CallerProtocol protocol;
   private final RequestObserver observer;
   private final Map<String, CallerCall> calls = new HashMap<>();
   private Optional<Node> node = Optional.empty();
-  private boolean leaving;
   private Function<MemberId, CallHandler> handlers = m -> (h, b, s) -> () -> {};
 
   /**
@@ -54,6 +43,7 @@
    * @param running requests at the target of this host
    * @param clock monotonic time, in nanoseconds
    * @param maxBodyBytes greatest body of a request
+   * @param protocol what callers speak
    * @param observer hears of every request that ends
    */
   public Entry(
@@ -61,12 +51,14 @@
       RunningRequests running,
       LongSupplier clock,
       long maxBodyBytes,
+      CallerProtocol protocol,
       RequestObserver observer) {
     this.observer = observer;
     this.ids = new RequestIds(self);
     this.running = running;
     this.clock = clock;
     this.maxBodyBytes = maxBodyBytes;
+    this.protocol = protocol;
   }
 
   /**
@@ -80,11 +72,6 @@
     handlers = h;
   }
 
-  /** Closes each connection after its answer from now on, since the daemon is leaving. */
-  public void leave() {
-    leaving = true;
-  }
-
   /** Returns the number of requests under way. */
   public int count() {
     return calls.size();
@@ -93,28 +80,25 @@
   /**
    * Takes a caller's request.
    *
-   * @param req the request
-   * @param res its answer
-   * @return ends when the answer has been sent
+   * @param in the request
    */
-  public Publisher<Void> fromCaller(HttpServerRequest req, HttpServerResponse res) {
-    return take(req, res, Optional.empty());
+  public void fromCaller(Inbound in) {
+    take(in, Optional.empty());
   }
 
   /**
-   * Takes an outbound call of the target.
+   * Takes an outbound call of the target, which names the request that it is made for.
    *
-   * @param req the request
-   * @param res its answer
-   * @return ends when the answer has been sent
+   * @param in the call
    */
-  public Publisher<Void> fromTarget(HttpServerRequest req, HttpServerResponse res) {
+  public void fromTarget(Inbound in) {
     Optional<RequestContext> parent =
-        Optional.ofNullable(req.requestHeaders().get(Headers.REQUEST_ID)).flatMap(running::find);
+        Optional.ofNullable(in.head().headers().get(Headers.REQUEST_ID)).flatMap(running::find);
     if (parent.isEmpty()) {
-      return Problems.send(res, ids.next(), new Verdict.NotRun(ErrorCode.PARENT_UNKNOWN));
+      refuse(in, ids.next(), ErrorCode.PARENT_UNKNOWN);
+      return;
     }
-    return take(req, res, parent);
+    take(in, parent);
   }
 
   @Override
@@ -123,113 +107,60 @@
     return c.attempt(x, handlers.apply(to), listener, clock.getAsLong());
   }
 
-  private Publisher<Void> take(
-      HttpServerRequest req, HttpServerResponse res, Optional<RequestContext> parent) {
-    String id = ids.next();
-    if (leaving) {
-      res.keepAlive(false);
-    }
+  private void take(Inbound in, Optional<RequestContext> parent) {
     try {
-      long length = bodyLength(req.requestHeaders());
-      checkTimeout(req.requestHeaders());
-      if (length > maxBodyBytes) {
-        return Problems.send(res, id, new Verdict.NotRun(ErrorCode.REQUEST_TOO_LARGE));
+      CallerRequest r = protocol.read(in.head().headers());
+      String id = r.requestId().filter(i -> !calls.containsKey(i)).orElseGet(ids::next);
+      if (in.body().length() > maxBodyBytes) {
+        refuse(in, id, ErrorCode.REQUEST_TOO_LARGE);
+      } else {
+        run(in, r, id, parent);
       }
-      if (length >= 0 && length <= WHOLE_BODY_BYTES) {
-        return whole(req, length).flatMap(b -> run(req, res, id, parent, RequestBody.whole(b)));
-      }
-      return run(req, res, id, parent, RequestBody.streamed(bounded(req), length));
-    } catch (NumberFormatException e) {
-      return Problems.send(res, id, new Verdict.NotRun(ErrorCode.REQUEST_MALFORMED));
+    } catch (IllegalArgumentException e) {
+      Logger.info("callers: malformed request: {}", e.getMessage());
+      refuse(in, ids.next(), ErrorCode.REQUEST_MALFORMED);
     }
   }
 
-  private Mono<Void> run(
-      HttpServerRequest req,
-      HttpServerResponse res,
-      String id,
-      Optional<RequestContext> parent,
-      RequestBody body) {
-    CallerCall c = new CallerCall(req, res, id, HeaderRules.forTarget(req.requestHeaders()), body);
-    Exchange x = new Exchange(head(req, id, parent, body), clock.getAsLong(), c);
+  private void refuse(Inbound in, String id, ErrorCode code) {
+    in.answer(protocol.refusal(id, new Verdict.NotRun(code)));
+  }
+
+  private void run(Inbound in, CallerRequest r, String id, Optional<RequestContext> parent) {
+    CallerCall c = new CallerCall(in, protocol, id, r.forTarget());
+    Exchange x = new Exchange(head(in, r, id, parent), clock.getAsLong(), c);
     calls.put(id, c);
-    x.onEnd(v -> observer.ended(v, clock.getAsLong() - x.arrivedNanos()));
     Runnable leave = () -> x.finish(new Verdict.NotRun(ErrorCode.CANCELLED));
     Runnable detach = parent.map(p -> running.addChild(p.requestId(), leave)).orElse(() -> {});
-    return Mono.defer(
-            () -> {
-              node.orElseThrow().start(x);
-              return c.reply();
-            })
-        .doFinally(
-            s -> {
-              calls.remove(id);
-              detach.run();
-              leave.run();
-            });
+    in.onGone(leave);
+    x.onEnd(
+        v -> {
+          calls.remove(id, c);
+          detach.run();
+          observer.ended(x, v, clock.getAsLong());
+        });
+    node.orElseThrow().start(x);
   }
 
   private static RequestHead head(
-      HttpServerRequest req, String id, Optional<RequestContext> parent, RequestBody body) {
-    HttpHeaders h = req.requestHeaders();
-    int query = req.uri().indexOf('?');
-    String path = query < 0 ? req.uri() : req.uri().substring(0, query);
+      Inbound in, CallerRequest r, String id, Optional<RequestContext> parent) {
+    String uri = in.head().uri();
+    int query = uri.indexOf('?');
     return new RequestHead(
         id,
-        req.method().name(),
-        path,
-        Optional.ofNullable(h.get(Headers.AUTHORIZATION))
-            .filter(a -> a.startsWith(BEARER))
-            .map(a -> a.substring(BEARER.length())),
-        Optional.ofNullable(h.get(Headers.IDEMPOTENCY_KEY)),
-        timeoutMillis(h),
-        contentHash(req.uri(), body),
+        r.host(),
+        in.head().method().name(),
+        query < 0 ? uri : uri.substring(0, query),
+        r.key(),
+        r.idempotencyKey(),
+        r.timeoutMillis(),
+        contentHash(uri, in.body()),
         parent);
   }
 
-  private static Optional<Long> timeoutMillis(HttpHeaders h) {
-    return Optional.ofNullable(h.get(Headers.TIMEOUT_MILLIS)).map(Long::parseLong);
-  }
-
-  private static void checkTimeout(HttpHeaders h) {
-    if (timeoutMillis(h).filter(t -> t < 0).isPresent()) {
-      throw new NumberFormatException("negative timeout");
-    }
-  }
-
   private static long contentHash(String uri, RequestBody body) {
     long h = uri.hashCode();
     h = h * 31 + body.length();
     return h * 31 + Arrays.hashCode(body.whole());
   }
-
-  private static Mono<byte[]> whole(HttpServerRequest req, long length) {
-    return length == 0
-        ? Mono.just(new byte[0])
-        : req.receive().aggregate().asByteArray().defaultIfEmpty(new byte[0]);
-  }
-
-  private Flux<ByteBuf> bounded(HttpServerRequest req) {
-    long[] seen = new long[1];
-    return req.receive()
-        .retain()
-        .doOnNext(
-            b -> {
-              seen[0] += b.readableBytes();
-              if (seen[0] > maxBodyBytes) {
-                b.release();
-                throw new PomelohollowException(
-                    ErrorCode.REQUEST_TOO_LARGE, "more than " + maxBodyBytes + " bytes");
-              }
-            });
-  }
-
-  /** Returns the length of the body, -1 if it is chunked. */
-  private static long bodyLength(HttpHeaders h) {
-    if (h.contains(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED, true)) {
-      return -1;
-    }
-    String length = h.get(HttpHeaderNames.CONTENT_LENGTH);
-    return length == null ? 0 : Long.parseLong(length);
-  }
 }
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/RequestObserver.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/RequestObserver.java
@@ -1,15 +1,17 @@
 package org.pomelohollow.daemon.internal.http;
 
+import org.pomelohollow.decision.request.Exchange;
 import org.pomelohollow.model.Verdict;
 
-/** Hears of every request that ends at its entry. */
+/** Hears of requests that end at their entry. */
 @FunctionalInterface
 public interface RequestObserver {
   /**
-   * A request has ended.
+   * A request ended.
    *
-   * @param verdict what the caller was told
-   * @param nanos time since its arrival, in nanoseconds
+   * @param x the request
+   * @param verdict what is known of it
+   * @param nowNanos current monotonic time, in nanoseconds
    */
-  void ended(Verdict verdict, long nanos);
+  void ended(Exchange x, Verdict verdict, long nowNanos);
 }
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/log/LogPump.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/log/LogPump.java
@@ -4,6 +4,7 @@
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.pomelohollow.decision.Event;
 import org.pomelohollow.errors.ErrorCode;
@@ -32,6 +33,7 @@
   private final LogClient client;
   private final WireCodec codec;
   private final Scheduler loop;
+  private final Set<LogStream> streams;
   private final Consumer<Event> events;
   private final Map<LogStream, Long> next = new EnumMap<>(LogStream.class);
   private final Disposable.Composite running = Disposables.composite();
@@ -42,9 +44,16 @@
    * @param client client of the log
    * @param codec codec of entries
    * @param loop the event loop
+   * @param streams streams to read
    * @param events takes what happens
    */
-  public LogPump(LogClient client, WireCodec codec, Scheduler loop, Consumer<Event> events) {
+  public LogPump(
+      LogClient client,
+      WireCodec codec,
+      Scheduler loop,
+      Set<LogStream> streams,
+      Consumer<Event> events) {
+    this.streams = Set.copyOf(streams);
     this.client = client;
     this.codec = codec;
     this.loop = loop;
@@ -53,9 +62,9 @@
 
   /** Starts to read every stream from its beginning. */
   public void start() {
-    for (LogStream s : LogStream.values()) {
+    for (LogStream s : streams) {
       next.put(s, 0L);
-      running.add(Mono.defer(() -> read(s)).repeat().subscribe());
+      running.add(Mono.defer(() -> read(s)).repeat(() -> !running.isDisposed()).subscribe());
     }
   }
 
@@ -83,7 +92,7 @@
    */
   public void append(long appendId, LogStream s, LogEntry entry) {
     client
-        .append(s.streamName(), codec.encode(entry))
+        .append(s.streamName(), entry.key(), codec.encode(entry))
         .publishOn(loop)
         .subscribe(
             offset -> events.accept(new Event.AppendEnded(appendId, Event.AppendOutcome.APPENDED)),
@@ -96,7 +105,8 @@
         .read(s.streamName(), from, s == LogStream.CONFIG ? MAX_CONFIG_RECORDS : MAX_RECORDS, WAIT)
         .publishOn(loop)
         .doOnNext(slice -> take(s, from, slice))
-        .then()
+        .then(
+            client.pause(s.streamName()).map(d -> Mono.delay(d, loop).then()).orElse(Mono.empty()))
         .onErrorResume(PomelohollowException.class, e -> failed(s));
   }
 
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/HeaderRules.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/protocol/HeaderRules.java
@@ -1,4 +1,4 @@
-package org.pomelohollow.daemon.internal.call;
+package org.pomelohollow.daemon.protocol;
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -32,6 +32,14 @@
           Headers.VERDICT.toLowerCase(Locale.ROOT),
           Headers.ERROR.toLowerCase(Locale.ROOT));
 
+  private static final Set<String> FROM_CALLER =
+      Set.of(
+          Headers.REQUEST_ID.toLowerCase(Locale.ROOT),
+          Headers.TIMEOUT_MILLIS.toLowerCase(Locale.ROOT),
+          Headers.VERDICT.toLowerCase(Locale.ROOT),
+          Headers.ERROR.toLowerCase(Locale.ROOT),
+          Headers.AUTHORIZATION.toLowerCase(Locale.ROOT));
+
   private HeaderRules() {}
 
   /**
@@ -42,7 +50,7 @@
    * @return fields in order
    */
   public static List<HeaderField> forTarget(HttpHeaders h) {
-    return select(h, Set.of(Headers.AUTHORIZATION.toLowerCase(Locale.ROOT)));
+    return endToEnd(h, FROM_CALLER);
   }
 
   /**
@@ -52,18 +60,22 @@
    * @return fields in order
    */
   public static List<HeaderField> forCaller(HttpHeaders h) {
-    return select(h, Set.of());
+    return endToEnd(h, OWN);
   }
 
-  private static List<HeaderField> select(HttpHeaders h, Set<String> dropped) {
+  /**
+   * Returns the fields that concern more than one connection.
+   *
+   * @param h fields as received
+   * @param dropped further fields that stay behind, in lower case
+   * @return fields in order
+   */
+  public static List<HeaderField> endToEnd(HttpHeaders h, Set<String> dropped) {
     Set<String> named = namedByConnection(h);
-    List<HeaderField> out = new ArrayList<>();
+    List<HeaderField> out = new ArrayList<>(h.size());
     for (Map.Entry<String, String> e : h) {
       String n = e.getKey().toLowerCase(Locale.ROOT);
-      if (!HOP_BY_HOP.contains(n)
-          && !OWN.contains(n)
-          && !dropped.contains(n)
-          && !named.contains(n)) {
+      if (!HOP_BY_HOP.contains(n) && !dropped.contains(n) && !named.contains(n)) {
         out.add(new HeaderField(e.getKey(), e.getValue()));
       }
     }
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/RequestBody.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/protocol/RequestBody.java
@@ -1,11 +1,11 @@
-package org.pomelohollow.daemon.internal.http;
+package org.pomelohollow.daemon.protocol;
 
 import io.netty.buffer.ByteBuf;
 import java.util.Optional;
 import reactor.core.publisher.Flux;
 
 /** Body of a request: short and whole, or a stream that can be taken once. */
-final class RequestBody {
+public final class RequestBody {
   private final byte[] whole;
   private final Optional<Flux<ByteBuf>> streamed;
   private final long length;
@@ -17,29 +17,44 @@
     this.length = length;
   }
 
-  static RequestBody whole(byte[] content) {
+  /**
+   * Creates a short body.
+   *
+   * @param content the whole of it
+   * @return the body
+   */
+  public static RequestBody whole(byte[] content) {
     return new RequestBody(content, Optional.empty(), content.length);
   }
 
-  /** Creates a body from a stream whose buffers are handed over; length -1 if unknown. */
-  static RequestBody streamed(Flux<ByteBuf> content, long length) {
+  /**
+   * Creates a long body.
+   *
+   * @param content its buffers, which are handed over
+   * @param length its length in bytes, -1 if unknown
+   * @return the body
+   */
+  public static RequestBody streamed(Flux<ByteBuf> content, long length) {
     return new RequestBody(new byte[0], Optional.of(content), length);
   }
 
-  byte[] whole() {
+  /** Returns a short body, empty if it is a stream. */
+  public byte[] whole() {
     return whole;
   }
 
-  Optional<Flux<ByteBuf>> streamed() {
+  /** Returns a long body. */
+  public Optional<Flux<ByteBuf>> streamed() {
     return streamed.map(f -> f.doOnSubscribe(s -> spent = true));
   }
 
-  long length() {
+  /** Returns the length in bytes, -1 if unknown. */
+  public long length() {
     return length;
   }
 
   /** Returns whether the stream has been taken. */
-  boolean isSpent() {
+  public boolean isSpent() {
     return spent;
   }
 }
--- /dev/null
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/protocol/package-info.java
@@ -0,0 +1,2 @@
+/** What a daemon speaks towards callers, its target and the platform, behind interfaces. */
+package org.pomelohollow.daemon.protocol;
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/settings/Settings.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/settings/Settings.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 import org.pomelohollow.model.Endpoint;
 import org.pomelohollow.model.Names;
 import org.pomelohollow.model.ZoneId;
@@ -18,6 +19,7 @@
  * @param secret secret shared by all daemons
  * @param limits bounds on callers and times
  * @param logLevel least severe log level that is written: trace, debug, info, warn or error
+ * @param platform what else a daemon on the users' platform is told, empty elsewhere
  */
 public record Settings(
     String host,
@@ -27,7 +29,8 @@
     List<Endpoint> seeds,
     PeerSecret secret,
     Limits limits,
-    String logLevel) {
+    String logLevel,
+    Optional<PlatformSettings> platform) {
   /** Checks the fields. */
   public Settings {
     if (!Names.isValid(host)) {
@@ -40,6 +43,31 @@
     Objects.requireNonNull(secret, "secret");
     Objects.requireNonNull(limits, "limits");
     Objects.requireNonNull(logLevel, "logLevel");
+    Objects.requireNonNull(platform, "platform");
+  }
+
+  /**
+   * Creates the settings of a daemon that is not on the users' platform.
+   *
+   * @param host host name
+   * @param zone availability zone
+   * @param listen addresses to listen on
+   * @param log address of the platform log
+   * @param seeds peers to try while the log tells of none
+   * @param secret secret shared by all daemons
+   * @param limits bounds on callers and times
+   * @param logLevel least severe log level that is written
+   */
+  public Settings(
+      String host,
+      ZoneId zone,
+      Listen listen,
+      Endpoint log,
+      List<Endpoint> seeds,
+      PeerSecret secret,
+      Limits limits,
+      String logLevel) {
+    this(host, zone, listen, log, seeds, secret, limits, logLevel, Optional.empty());
   }
 
   /**
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/settings/SettingsReader.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/settings/SettingsReader.java
@@ -15,6 +15,7 @@
 import org.pomelohollow.errors.ErrorCode;
 import org.pomelohollow.errors.PomelohollowException;
 import org.pomelohollow.model.Endpoint;
+import org.pomelohollow.model.ServiceId;
 import org.pomelohollow.model.ZoneId;
 
 /** Reads and checks the settings file of a daemon. */
@@ -71,6 +72,8 @@
     Settings.Limits limits =
         top.section("limits").map(SettingsReader::readLimits).orElse(Settings.Limits.DEFAULT);
     String level = top.section("logging").map(SettingsReader::readLevel).orElse("info");
+    Optional<PlatformSettings> platform =
+        top.section("platform").flatMap(SettingsReader::readPlatform);
     top.rejectUnknownKeys();
     if (top.problemCount() > 0) {
       return Optional.empty();
@@ -84,7 +87,8 @@
             seeds,
             secret.orElseThrow(),
             limits,
-            level));
+            level,
+            platform));
   }
 
   private static Optional<TomlSection> require(TomlSection top, String key) {
@@ -164,6 +168,35 @@
     return l;
   }
 
+  private static Optional<PlatformSettings> readPlatform(TomlSection s) {
+    Optional<Endpoint> readiness = s.convert("readiness", Endpoint::parse);
+    Optional<ServiceId> service = s.convert("service", ServiceId::new);
+    List<ZoneId> zones = s.strings("zones").stream().map(ZoneId::new).toList();
+    long recordBytes = s.integer("max_record_bytes", 262_144, 1_024, 1L << 30);
+    double ratio = s.number("retry_ratio", 0.1, 0, 1);
+    Duration grace = s.convert("grace", SettingsReader::duration).orElse(Duration.ofSeconds(5));
+    s.rejectUnknownKeys();
+    if (readiness.isEmpty() || service.isEmpty()) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        new PlatformSettings(
+            readiness.get(), service.get(), zones, (int) recordBytes, ratio, grace));
+  }
+
+  /** Reads a number with its unit, {@code ms} or {@code s}. */
+  private static Duration duration(String text) {
+    try {
+      return text.endsWith("ms")
+          ? Duration.ofMillis(Long.parseLong(text.substring(0, text.length() - 2)))
+          : Duration.ofMillis(
+              (long) (Double.parseDouble(text.substring(0, text.length() - 1)) * 1_000));
+    } catch (NumberFormatException | IndexOutOfBoundsException e) {
+      throw new PomelohollowException(
+          ErrorCode.TOML_OUT_OF_RANGE, "\"" + text + "\" is no time in ms or s", e);
+    }
+  }
+
   private static Duration millis(TomlSection s, String key, Duration fallback) {
     return Duration.ofMillis(s.integer(key, fallback.toMillis(), 1, MAX_MILLIS));
   }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/Event.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/Event.java
@@ -73,6 +73,14 @@
    */
   record AppendEnded(long appendId, AppendOutcome outcome) implements Event {}
 
+  /**
+   * The operators' whole document was read from a place that keeps only the newest one.
+   *
+   * @param version rises from one to the next, from 1
+   * @param text the document
+   */
+  record DocumentPublished(long version, String text) implements Event {}
+
   /**
    * A configuration is in force at this daemon.
    *
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/Node.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/Node.java
@@ -22,9 +22,7 @@
 import org.pomelohollow.decision.membership.MembershipController;
 import org.pomelohollow.decision.quarantine.QuarantineController;
 import org.pomelohollow.decision.quarantine.QuarantineFilter;
-import org.pomelohollow.decision.quarantine.QuarantineSettings;
-import org.pomelohollow.decision.quota.QuotaController;
-import org.pomelohollow.decision.quota.QuotaTerms;
+import org.pomelohollow.decision.quota.AccountRates;
 import org.pomelohollow.decision.request.DeadlineFilter;
 import org.pomelohollow.decision.request.EarlyRefusalFilter;
 import org.pomelohollow.decision.request.Exchange;
@@ -69,18 +67,18 @@
       Effects outside) {
     this.clock = clock;
     this.effects = e -> route(e, outside);
-    this.config = new ConfigController(effects);
+    this.config = new ConfigController(effects, setup.terms().documents());
     this.membership =
         new MembershipController(setup.self(), setup.seeds(), config, random, effects);
     this.admission = new AdmissionController(setup.self().zone(), new ThroughputLimit());
     Router router = new Router(random);
     this.claims = new ClaimController(setup.self().id(), ClaimSettings.DEFAULT, effects);
     QuarantineController quarantine =
-        new QuarantineController(setup.self().id(), QuarantineSettings.DEFAULT, random, effects);
+        new QuarantineController(setup.self().id(), setup.terms().quarantine(), random, effects);
     this.guard =
         new Guard(new Guard.Parts(admission, claims, quarantine, new RunningCalls(), clock));
     Timers timers = new Timers();
-    RetrySettings retries = RetrySettings.DEFAULT;
+    RetrySettings retries = setup.terms().retries();
     AttemptFilter attempts =
         new AttemptFilter(
             new AttemptFilter.Parts(
@@ -92,16 +90,17 @@
                 retries,
                 new RetryBudgets(retries.ratio(), retries.burst()),
                 quarantine));
-    QuotaController quota = new QuotaController(setup.self().id(), QuotaTerms.standard(), effects);
+    AccountRates quota = setup.terms().rates().create(setup.self().id(), effects);
     KeyFilter keys = new KeyFilter();
-    this.controllers =
+    List<Controller> all =
         List.of(
             timers, config, keys, quota, router, admission, claims, quarantine, guard, membership);
+    this.controllers = all.stream().filter(c -> c != claims || setup.terms().claims()).toList();
     this.chain =
         new FilterChain(
             List.of(
                 new RouteFilter(config::inForce),
-                new StalenessFilter(config::isStale),
+                new StalenessFilter(t -> setup.terms().failsClosed() && config.isStale(t)),
                 keys,
                 new DeadlineFilter(
                     retries.rootAllowance(),
@@ -223,11 +222,13 @@
    *
    * @param self its identity, address and zone
    * @param seeds addresses of peers to try before the log has told of any
+   * @param terms how it works with its deployment
    */
-  public record Setup(Member self, List<Endpoint> seeds) {
+  public record Setup(Member self, List<Endpoint> seeds, NodeTerms terms) {
     /** Copies the list. */
     public Setup {
       Objects.requireNonNull(self, "self");
+      Objects.requireNonNull(terms, "terms");
       seeds = List.copyOf(seeds);
     }
   }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionController.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionController.java
@@ -41,6 +41,7 @@
   private boolean draining;
   private boolean stopping;
   private boolean starting;
+  private long now;
 
   /**
    * Creates a controller without a target.
@@ -142,12 +143,12 @@
   /** Returns the load to carry back to entries. */
   public TargetLoad load() {
     return new TargetLoad(
-        target.limit(), inFlight(), calls.size() + transfers.size(), cutOff.get());
+        target.toldLimit(now), inFlight(), calls.size() + transfers.size(), cutOff.get());
   }
 
   /** Returns what to tell peers of the target. */
   public Optional<TargetState> targetState() {
-    return target.state(draining || stopping);
+    return target.state(draining || stopping, now);
   }
 
   /** Returns the number of requests at the target. */
@@ -168,7 +169,7 @@
     } else if (event instanceof Event.Stopping) {
       stopping = true;
     } else if (event instanceof Event.ConfigInForce c) {
-      configure(c.configuration().document());
+      configure(c.configuration().document(), nowNanos);
     } else if (event instanceof Event.Tick) {
       tick(nowNanos);
     } else {
@@ -183,7 +184,7 @@
     return StateDump.of(PART)
         .line("target", target.target())
         .line("draining", draining || stopping)
-        .line("cold", target.isCold())
+        .line("cold", target.isCold(nowNanos))
         .line("limit", target.limit())
         .line("in flight", inFlight())
         .line("large transfers in flight", shares.transfers())
@@ -193,7 +194,10 @@
         .build();
   }
 
-  private void configure(Document d) {
+  private void configure(Document d, long nowNanos) {
+    if (document.filter(old -> !old.isInService(zone) && d.isInService(zone)).isPresent()) {
+      target.suspectCold(nowNanos);
+    }
     document = Optional.of(d);
     target.configure(d);
     cutOff.setPriorities(d.priorities().size());
@@ -218,6 +222,7 @@
   }
 
   private void elapse(long nowNanos) {
+    now = nowNanos;
     cutOff.elapse(target.limit(), inFlight(), nowNanos);
   }
 
@@ -243,6 +248,9 @@
   }
 
   private Optional<Ticket> next(long nowNanos) {
+    if (!target.mayStart(nowNanos)) {
+      return Optional.empty();
+    }
     return shares.choose(calls.peek(), transfers.peek(), target.limit(), nowNanos);
   }
 
@@ -253,6 +261,7 @@
       return;
     }
     shares.started(t.isBulk());
+    target.started(nowNanos);
     t.start(target.epoch(), nowNanos);
     running.put(t.context().requestId(), t);
     cutOff.started(t.context().priority());
@@ -299,7 +308,7 @@
   private void shed(Ticket t, long nowNanos) {
     cutOff.shed(t.context().priority());
     overload.shed(nowNanos);
-    refuse(t, target.isCold() ? ErrorCode.TARGET_COLD : ErrorCode.OVERLOADED, nowNanos);
+    refuse(t, target.isCold(nowNanos) ? ErrorCode.TARGET_COLD : ErrorCode.OVERLOADED, nowNanos);
   }
 
   private void refuse(Ticket t, ErrorCode code, long nowNanos) {
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/TargetLimit.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/TargetLimit.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import org.pomelohollow.decision.TargetAnnouncement;
+import org.pomelohollow.document.ColdRate;
 import org.pomelohollow.document.Document;
 import org.pomelohollow.document.ServiceEntry;
 import org.pomelohollow.model.TargetState;
@@ -15,6 +16,8 @@
   private final LatencyJump jump = new LatencyJump();
   private Optional<TargetAnnouncement> target = Optional.empty();
   private Optional<Document> document = Optional.empty();
+  private Optional<ColdPace> pace = Optional.empty();
+  private Optional<ColdRate> paceRate = Optional.empty();
   private long announcedNanos;
 
   TargetLimit(LimitAlgorithm algorithm) {
@@ -25,8 +28,23 @@
     return target;
   }
 
-  boolean isCold() {
-    return coldStart.isCold();
+  boolean isCold(long nowNanos) {
+    return pace.map(p -> p.isCold(nowNanos)).orElseGet(coldStart::isCold);
+  }
+
+  /** Tells whether the pace of a cold target lets a request start. */
+  boolean mayStart(long nowNanos) {
+    return pace.map(p -> p.mayStart(nowNanos)).orElse(true);
+  }
+
+  /** Notes that a request started. */
+  void started(long nowNanos) {
+    pace.ifPresent(p -> p.started(nowNanos));
+  }
+
+  /** Treats the target as cold, since it may have become so unseen. */
+  void suspectCold(long nowNanos) {
+    pace.ifPresent(p -> p.fall(nowNanos));
   }
 
   /** Returns the number of the present run of the target. */
@@ -39,32 +57,52 @@
     if (target.isEmpty()) {
       return 0;
     }
+    if (pace.isPresent()) {
+      return algorithm.limit();
+    }
     return coldStart.isCold() ? coldStart.bound() : Math.min(algorithm.limit(), coldStart.bound());
   }
 
+  /** Returns the limit that peers are told: what a cold target's pace amounts to. */
+  int toldLimit(long nowNanos) {
+    return pace.filter(p -> p.isCold(nowNanos))
+        .map(p -> Math.min(p.equivalentLimit(), limit()))
+        .orElseGet(this::limit);
+  }
+
   /** Returns the target's state for peers; its limit is rounded so that it changes seldom. */
-  Optional<TargetState> state(boolean draining) {
+  Optional<TargetState> state(boolean draining, long nowNanos) {
     return target.map(
         t ->
             new TargetState(
-                t.service(), t.slots(), roundDown(limit()), coldStart.isCold(), draining));
+                t.service(),
+                t.slots(),
+                roundDown(toldLimit(nowNanos)),
+                isCold(nowNanos),
+                draining));
   }
 
   void configure(Document d) {
     document = Optional.of(d);
     updateCeiling();
+    updatePace();
   }
 
   void announced(TargetAnnouncement a, long nowNanos) {
-    boolean sameRun =
-        target
-                .filter(t -> t.instance().equals(a.instance()) && t.service().equals(a.service()))
-                .isPresent()
-            && nowNanos - announcedNanos <= GAP_NANOS;
+    boolean sameRun = target.filter(a::isSameRun).isPresent();
+    boolean seamless = sameRun && nowNanos - announcedNanos <= GAP_NANOS;
     target = Optional.of(a);
     announcedNanos = nowNanos;
     updateCeiling();
-    if (!sameRun) {
+    updatePace();
+    if (pace.isPresent()) {
+      pace.get().announced(a.coldMillis(), nowNanos);
+      if (!sameRun) {
+        algorithm.reset(ceiling());
+      }
+      return;
+    }
+    if (!seamless) {
       fall();
     }
     coldStart.setAnnouncedCold(a.cold());
@@ -77,7 +115,9 @@
 
   /** Tells that the target has become slow at once, seen on requests that still run. */
   void stalled() {
-    fall();
+    if (pace.isEmpty()) {
+      fall();
+    }
   }
 
   /** Returns whether a request that has run for a time is far slower than its route was. */
@@ -91,7 +131,9 @@
     if (t.epoch() != coldStart.epoch()) {
       return;
     }
-    if (measures && jump.add(t.context().route(), s.ownNanos())) {
+    if (pace.isPresent()) {
+      algorithm.ended(s, nowNanos);
+    } else if (measures && jump.add(t.context().route(), s.ownNanos())) {
       fall();
     } else if (coldStart.isCold()) {
       if (coldStart.ended(t.epoch(), s.completion(), s.ownNanos())) {
@@ -111,14 +153,29 @@
     if (target.isEmpty()) {
       return;
     }
-    TargetAnnouncement t = target.get();
-    Optional<ServiceEntry> e =
-        document.flatMap(d -> Optional.ofNullable(d.services().get(t.service())));
+    coldStart.configure(service().map(ServiceEntry::coldStartSlots).orElse(1), ceiling());
+    algorithm.setCeiling(ceiling());
+  }
+
+  /** Keeps the pace while the operator's rate stays the same. */
+  private void updatePace() {
+    Optional<ColdRate> rate = service().flatMap(ServiceEntry::coldRate);
+    if (!rate.equals(paceRate)) {
+      paceRate = rate;
+      pace = rate.map(ColdPace::new);
+    }
+  }
+
+  private int ceiling() {
+    TargetAnnouncement t = target.orElseThrow();
     int announced = Math.min(t.slots(), t.connections());
-    int ceiling =
-        e.map(s -> Math.min(announced, Math.min(s.slots(), s.connections()))).orElse(announced);
-    coldStart.configure(e.map(ServiceEntry::coldStartSlots).orElse(1), ceiling);
-    algorithm.setCeiling(ceiling);
+    return service()
+        .map(s -> Math.min(announced, Math.min(s.slots(), s.connections())))
+        .orElse(announced);
+  }
+
+  private Optional<ServiceEntry> service() {
+    return target.flatMap(t -> document.map(d -> d.services().get(t.service())));
   }
 
   /** Rounds down to a power of two, or one and a half times one. */
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/attempt/Attempts.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/attempt/Attempts.java
@@ -22,6 +22,7 @@
   private final RetryAllowance allowance;
   private Optional<MemberId> last = Optional.empty();
   private int extra;
+  private int reached;
   private int lost;
 
   Attempts(Exchange x, AttemptFilter.Parts parts) {
@@ -79,7 +80,10 @@
     if (isSuspicious(v)) {
       parts.quarantine().hear(x.context().fingerprint(), now());
     }
-    boolean repeatable = !isSameElsewhere(v) && (v.isSafeToRepeat() || x.context().idempotent());
+    boolean repeatable =
+        reached < x.route().maxAttempts()
+            && !isSameElsewhere(v)
+            && (v.isSafeToRepeat() || x.context().idempotent());
     if (!repeatable || lost > MAX_LOST || !spend(v)) {
       x.refuse(v);
       return;
@@ -141,6 +145,11 @@
         : v instanceof Verdict.NotRun n && n.code() == ErrorCode.SUSPECTED;
   }
 
+  /** Tells whether a target has seen the request, whether or not it took it. */
+  private static boolean mayHaveReached(Verdict v) {
+    return !(v instanceof Verdict.NotRun n) || n.code() == ErrorCode.TARGET_REFUSED;
+  }
+
   /** Tells whether every other target would refuse for the same reason. */
   private static boolean isSameElsewhere(Verdict v) {
     return v instanceof Verdict.NotRun n
@@ -185,6 +194,9 @@
         return;
       }
       load = l;
+      if (mayHaveReached(verdict)) {
+        reached++;
+      }
       if (verdict instanceof Verdict.NotRun n) {
         end(AttemptResult.Outcome.REFUSED);
         x.attemptNotRun();
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/config/ConfigController.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/config/ConfigController.java
@@ -1,5 +1,6 @@
 package org.pomelohollow.decision.config;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -33,6 +34,7 @@
   private static final int TRANSFERS_PER_PERIOD = 8;
 
   private final Effects effects;
+  private final DocumentFormat format;
   private final ConfigFold fold;
   private final PeerFetch fetch = new PeerFetch();
   private final CheckpointSchedule checkpoints = new CheckpointSchedule();
@@ -56,7 +58,18 @@
    * @param effects takes what the controller asks for
    */
   public ConfigController(Effects effects) {
+    this(effects, DocumentFormat.TOML);
+  }
+
+  /**
+   * Creates a controller without a configuration.
+   *
+   * @param effects takes what the controller asks for
+   * @param format format of the documents
+   */
+  public ConfigController(Effects effects, DocumentFormat format) {
     this.effects = effects;
+    this.format = format;
     this.fold = new ConfigFold(new Decisions());
   }
 
@@ -138,6 +151,8 @@
       fetchIfNeeded();
     } else if (event instanceof Event.LogRead r && r.stream() == LogStream.CONFIG) {
       read(r);
+    } else if (event instanceof Event.DocumentPublished p) {
+      published(p);
     } else if (event instanceof Event.MessageReceived m) {
       receive(m);
     } else if (event instanceof Event.LinkLost l) {
@@ -230,6 +245,14 @@
         .ifPresent(p -> effects.emit(new Effect.Send(p, new ConfigFetch(version(), beyond))));
   }
 
+  /** Takes a whole document from operators who order their versions themselves. */
+  private void published(Event.DocumentPublished p) {
+    take(new ConfigState(p.version(), p.text(), List.of("v" + p.version()), 0));
+    if (p.version() >= newestHeard) {
+      freshness.confirm(now, now);
+    }
+  }
+
   private void receive(Event.MessageReceived m) {
     if (m.message() instanceof ConfigFetch f) {
       answer(m.from(), f);
@@ -258,10 +281,10 @@
 
   private void take(ConfigState s) {
     if (s.version() > version()) {
-      Optional<Document> d = ConfigFold.document(s.text());
+      Optional<Document> d = format.read(s.text());
       if (d.isEmpty()) {
         unreadableVersion = Math.max(unreadableVersion, s.version());
-        note(true, "version " + s.version() + " of a peer cannot be read by this release");
+        note(true, "version " + s.version() + " cannot be read by this release");
         return;
       }
       best = s;
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/membership/MemberJoined.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/membership/MemberJoined.java
@@ -1,6 +1,7 @@
 package org.pomelohollow.decision.membership;
 
 import java.util.Objects;
+import java.util.Optional;
 import org.pomelohollow.message.LogEntry;
 import org.pomelohollow.model.Endpoint;
 import org.pomelohollow.model.MemberId;
@@ -20,4 +21,9 @@
     Objects.requireNonNull(peer, "peer");
     Objects.requireNonNull(zone, "zone");
   }
+
+  @Override
+  public Optional<String> key() {
+    return Optional.of(member.host());
+  }
 }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/membership/MemberLeft.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/membership/MemberLeft.java
@@ -1,6 +1,7 @@
 package org.pomelohollow.decision.membership;
 
 import java.util.Objects;
+import java.util.Optional;
 import org.pomelohollow.message.LogEntry;
 import org.pomelohollow.model.MemberId;
 
@@ -14,4 +15,9 @@
   public MemberLeft {
     Objects.requireNonNull(member, "member");
   }
+
+  @Override
+  public Optional<String> key() {
+    return Optional.of(member.host());
+  }
 }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/quota/QuotaController.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/quota/QuotaController.java
@@ -5,7 +5,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
-import org.pomelohollow.decision.Controller;
 import org.pomelohollow.decision.Effects;
 import org.pomelohollow.decision.Event;
 import org.pomelohollow.decision.StateDump;
@@ -43,7 +42,7 @@
  * <p>Nothing rests on the roster, and lost messages lose tokens. Only the first holder of a piece,
  * proved by a stream read whole from offset 0, starts with a full bucket.
  */
-public final class QuotaController implements Controller {
+public final class QuotaController implements AccountRates {
   private static final String PART = "quota";
 
   private final MemberId self;
@@ -79,13 +78,7 @@
     this.placement = new Placement(Roster.of(self, List.of()));
   }
 
-  /**
-   * Asks for one request's worth of an account's rate.
-   *
-   * @param account the account
-   * @param nowNanos current monotonic time, in nanoseconds
-   * @param answer called once, at once or within the time of {@link QuotaTerms#answer} and a tick
-   */
+  @Override
   public void acquire(AccountId account, long nowNanos, Consumer<QuotaAnswer> answer) {
     if (!accounts.containsKey(account)) {
       answer.accept(new QuotaAnswer.Unavailable());
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/request/DeadlineFilter.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/request/DeadlineFilter.java
@@ -56,10 +56,10 @@
     return new RequestContext(
         x.head().requestId(),
         x.head().requestId(),
-        x.route().service(),
+        x.service(),
         x.route().name(),
         x.account(),
-        x.route().priority(),
+        x.priority(),
         deadline(x),
         x.route().idempotent(),
         x.head().idempotencyKey(),
@@ -72,7 +72,7 @@
     return new RequestContext(
         x.head().requestId(),
         parent.rootId(),
-        x.route().service(),
+        x.service(),
         x.route().name(),
         parent.account(),
         parent.priority(),
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/request/Exchange.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/request/Exchange.java
@@ -8,7 +8,9 @@
 import org.pomelohollow.document.RouteEntry;
 import org.pomelohollow.errors.ErrorCode;
 import org.pomelohollow.model.AccountId;
+import org.pomelohollow.model.Priority;
 import org.pomelohollow.model.RequestContext;
+import org.pomelohollow.model.ServiceId;
 import org.pomelohollow.model.Verdict;
 
 /** A request at its entry daemon, from its arrival to its end. Confined to one thread. */
@@ -18,7 +20,9 @@
   private final ExchangeListener listener;
   private final List<Consumer<Verdict>> endHooks = new ArrayList<>();
   private Optional<RouteEntry> route = Optional.empty();
+  private Optional<ServiceId> service = Optional.empty();
   private Optional<AccountId> account = Optional.empty();
+  private Optional<Priority> accountPriority = Optional.empty();
   private Optional<RequestContext> context = Optional.empty();
   private Optional<Verdict> end = Optional.empty();
   private int unsettledAttempts;
@@ -55,8 +59,23 @@
     return route.orElseThrow();
   }
 
-  void setRoute(RouteEntry r) {
+  /**
+   * Returns the service that the request is for.
+   *
+   * @throws java.util.NoSuchElementException before {@link RouteFilter} has run
+   */
+  public ServiceId service() {
+    return service.orElseThrow();
+  }
+
+  void setRoute(RouteEntry r, ServiceId s) {
     route = Optional.of(r);
+    service = Optional.of(s);
+  }
+
+  /** Returns the priority of the account if it has one of its own, else that of the route. */
+  Priority priority() {
+    return accountPriority.orElseGet(() -> route().priority());
   }
 
   /** Returns the authenticated account, empty on open routes. */
@@ -68,6 +87,10 @@
     account = Optional.of(a);
   }
 
+  void setAccountPriority(Priority p) {
+    accountPriority = Optional.of(p);
+  }
+
   /**
    * Returns the context for the next hops.
    *
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/request/KeyFilter.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/request/KeyFilter.java
@@ -6,9 +6,11 @@
 import org.pomelohollow.decision.Controller;
 import org.pomelohollow.decision.Event;
 import org.pomelohollow.decision.StateDump;
+import org.pomelohollow.document.Document;
 import org.pomelohollow.document.KeyEntry;
 import org.pomelohollow.errors.ErrorCode;
 import org.pomelohollow.model.AccountId;
+import org.pomelohollow.model.Priority;
 
 /**
  * Finds the account that a caller's key speaks for. Missing, malformed, unknown and withdrawn keys
@@ -16,6 +18,7 @@
  */
 public final class KeyFilter implements Filter, Controller {
   private Map<String, AccountId> accounts = Map.of();
+  private Map<AccountId, Priority> priorities = Map.of();
 
   @Override
   public void apply(Exchange x, long nowNanos, Chain next) {
@@ -30,6 +33,7 @@
     }
     if (!x.route().open() || x.head().parent().isPresent()) {
       a.ifPresent(x::setAccount);
+      a.map(priorities::get).ifPresent(x::setAccountPriority);
     }
     next.proceed(x, nowNanos);
   }
@@ -42,9 +46,16 @@
         m.put(k.digest(), k.account());
       }
       accounts = m;
+      priorities = prioritiesOf(c.configuration().document());
     }
   }
 
+  private static Map<AccountId, Priority> prioritiesOf(Document d) {
+    Map<AccountId, Priority> m = new HashMap<>();
+    d.accounts().forEach((id, e) -> e.priority().ifPresent(p -> m.put(id, p)));
+    return m;
+  }
+
   @Override
   public StateDump dump(long nowNanos) {
     return StateDump.of("keys").line("count", accounts.size()).build();
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/request/QuotaFilter.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/request/QuotaFilter.java
@@ -1,20 +1,20 @@
 package org.pomelohollow.decision.request;
 
+import org.pomelohollow.decision.quota.AccountRates;
 import org.pomelohollow.decision.quota.QuotaAnswer;
-import org.pomelohollow.decision.quota.QuotaController;
 import org.pomelohollow.errors.ErrorCode;
 import org.pomelohollow.model.Verdict;
 
 /** Charges a root request to its account. */
 public final class QuotaFilter implements Filter {
-  private final QuotaController quota;
+  private final AccountRates quota;
 
   /**
    * Creates a filter.
    *
    * @param quota grants the requests
    */
-  public QuotaFilter(QuotaController quota) {
+  public QuotaFilter(AccountRates quota) {
     this.quota = quota;
   }
 
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/request/RouteFilter.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/request/RouteFilter.java
@@ -3,13 +3,19 @@
 import java.util.Optional;
 import java.util.function.Supplier;
 import org.pomelohollow.decision.config.VersionedDocument;
-import org.pomelohollow.document.Document;
 import org.pomelohollow.document.RouteEntry;
+import org.pomelohollow.document.WeightedService;
 import org.pomelohollow.errors.ErrorCode;
+import org.pomelohollow.model.ServiceId;
+import org.pomelohollow.model.StableHash;
 
-/** Finds the route of a request. */
+/** Finds the route of a request, and its service if several share the route by weight. */
 public final class RouteFilter implements Filter {
+  private static final double HASH_RANGE = 0x1p63;
+
   private final Supplier<Optional<VersionedDocument>> configuration;
+  private long indexedVersion;
+  private Optional<RouteTable> table = Optional.empty();
 
   /**
    * Creates a filter.
@@ -27,18 +33,36 @@
       x.refuse(ErrorCode.NO_CONFIGURATION);
       return;
     }
-    Optional<RouteEntry> r = find(v.get().document(), x.head());
+    Optional<RouteEntry> r = tableOf(v.get()).find(x.head());
     if (r.isEmpty()) {
       x.refuse(ErrorCode.ROUTE_UNKNOWN);
       return;
     }
-    x.setRoute(r.get());
+    x.setRoute(r.get(), choose(r.get(), x.head().requestId()));
     next.proceed(x, nowNanos);
   }
 
-  private static Optional<RouteEntry> find(Document d, RequestHead h) {
-    return d.routes().stream()
-        .filter(r -> r.methods().contains(h.method()) && r.path().matches(h.path()))
-        .findFirst();
+  private RouteTable tableOf(VersionedDocument v) {
+    if (table.isEmpty() || indexedVersion != v.version()) {
+      indexedVersion = v.version();
+      table = Optional.of(new RouteTable(v.document()));
+    }
+    return table.orElseThrow();
+  }
+
+  /** Chooses a service by weight; the same request always gets the same one. */
+  private static ServiceId choose(RouteEntry r, String requestId) {
+    if (r.services().size() == 1) {
+      return r.service();
+    }
+    double sum = r.services().stream().mapToDouble(WeightedService::weight).sum();
+    double at = (StableHash.of(requestId) >>> 1) / HASH_RANGE * sum;
+    for (WeightedService s : r.services()) {
+      at -= s.weight();
+      if (at < 0) {
+        return s.service();
+      }
+    }
+    return r.service();
   }
 }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/document/AccountEntry.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/document/AccountEntry.java
@@ -1,6 +1,9 @@
 package org.pomelohollow.document;
 
+import java.util.Objects;
+import java.util.Optional;
 import org.pomelohollow.model.AccountId;
+import org.pomelohollow.model.Priority;
 
 /**
  * A client account.
@@ -9,8 +12,10 @@
  * @param ratePerSecond sustained root requests per second over all daemons together
  * @param burst root requests that may come at once, at least 1
  * @param weight share at a busy target relative to other accounts
+ * @param priority priority of the account's requests, in place of their routes' if present
  */
-public record AccountEntry(AccountId id, double ratePerSecond, double burst, double weight) {
+public record AccountEntry(
+    AccountId id, double ratePerSecond, double burst, double weight, Optional<Priority> priority) {
   /** Highest rate and burst that a document may grant. */
   public static final double MAX_RATE = 10_000_000;
 
@@ -23,8 +28,26 @@
   /** Highest weight. */
   public static final double MAX_WEIGHT = 1_000;
 
+  /**
+   * Creates an account whose requests have the priorities of their routes.
+   *
+   * @param id name
+   * @param ratePerSecond sustained root requests per second over all daemons together
+   * @param burst root requests that may come at once, at least 1
+   * @param weight share at a busy target relative to other accounts
+   */
+  public AccountEntry(AccountId id, double ratePerSecond, double burst, double weight) {
+    this(id, ratePerSecond, burst, weight, Optional.empty());
+  }
+
+  /** Returns whether the account's rate is bounded at all. */
+  public boolean isLimited() {
+    return ratePerSecond < MAX_RATE;
+  }
+
   /** Checks the ranges. */
   public AccountEntry {
+    Objects.requireNonNull(priority, "priority");
     Ranges.check("rate", ratePerSecond, MIN_RATE, MAX_RATE);
     Ranges.check("burst", burst, 1, MAX_RATE);
     Ranges.check("weight", weight, MIN_WEIGHT, MAX_WEIGHT);
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/document/PathPattern.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/document/PathPattern.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.regex.Pattern;
 import org.pomelohollow.errors.ErrorCode;
 import org.pomelohollow.errors.PomelohollowException;
@@ -29,6 +30,21 @@
     this.open = open;
   }
 
+  /**
+   * Returns a pattern that matches every path with a prefix, character by character.
+   *
+   * @param prefix text that starts and ends with a slash, not null
+   * @return the pattern
+   * @throws PomelohollowException with {@link ErrorCode#TOML_OUT_OF_RANGE} if it does not
+   */
+  public static PathPattern ofPrefix(String prefix) {
+    if (!prefix.startsWith("/") || !prefix.endsWith("/")) {
+      throw malformed(prefix, "does not start and end with a slash");
+    }
+    List<String> parts = split(prefix);
+    return new PathPattern(prefix + REST, List.copyOf(parts.subList(0, parts.size() - 1)), true);
+  }
+
   /**
    * Parses a pattern.
    *
@@ -78,6 +94,19 @@
     return true;
   }
 
+  /**
+   * Returns the text that every matching path starts with, if the pattern is such a text and {@code
+   * **}.
+   *
+   * @return a prefix that starts and ends with a slash
+   */
+  public Optional<String> literalPrefix() {
+    if (!open || segments.stream().anyMatch(PathPattern::isVariable)) {
+      return Optional.empty();
+    }
+    return Optional.of(text.substring(0, text.length() - REST.length()));
+  }
+
   /**
    * Tells whether this and another pattern have equal precedence and match a common path.
    *
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/model/Verdict.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/model/Verdict.java
@@ -8,6 +8,11 @@
   /** Returns the header value towards callers. */
   String label();
 
+  /** Returns why there is no answer; {@link ErrorCode#INTERNAL} if there is one. */
+  default ErrorCode code() {
+    return ErrorCode.INTERNAL;
+  }
+
   /** Returns true if another attempt of a non-idempotent request is safe. */
   default boolean isSafeToRepeat() {
     return this instanceof NotRun;
--- a/org.pomelohollow.pgm/src/main/java/org/pomelohollow/pgm/DaemonCommand.java
+++ b/org.pomelohollow.pgm/src/main/java/org/pomelohollow/pgm/DaemonCommand.java
@@ -7,6 +7,7 @@
 import org.pomelohollow.daemon.settings.Settings;
 import org.pomelohollow.daemon.settings.SettingsReader;
 import org.pomelohollow.document.Parsed;
+import org.pomelohollow.platform.PlatformDeployment;
 
 /** Runs a daemon until it is told to stop. */
 final class DaemonCommand implements Command {
@@ -36,7 +37,7 @@
       return ExitCode.FAILED;
     }
     Logging.setLevel(s.value().get().logLevel());
-    Daemon d = Daemon.start(s.value().get());
+    Daemon d = start(s.value().get());
     console.out().println("callers " + d.callerAddress());
     console.out().println("peers " + d.peerAddress());
     console.out().println("target " + d.targetAddress());
@@ -45,4 +46,8 @@
     StopSignal.await(() -> d.stop().block());
     return ExitCode.DONE;
   }
+
+  private static Daemon start(Settings s) {
+    return s.platform().isPresent() ? Daemon.start(s, new PlatformDeployment(s)) : Daemon.start(s);
+  }
 }
--- a/org.pomelohollow.wire/src/main/java/org/pomelohollow/wire/WireType.java
+++ b/org.pomelohollow.wire/src/main/java/org/pomelohollow/wire/WireType.java
@@ -26,6 +26,8 @@
 import org.pomelohollow.decision.quota.LoanAnswer;
 import org.pomelohollow.decision.quota.LoanRequest;
 import org.pomelohollow.decision.quota.PiecesClaimed;
+import org.pomelohollow.decision.rates.TokenGrant;
+import org.pomelohollow.decision.rates.TokenRequest;
 
 /** Numbers of the message and entry types on the wire. A number is never used again. */
 enum WireType {
@@ -52,6 +54,8 @@
   RING_FETCH(46, RingFetch.class),
   RING_TRANSFER(47, RingTransfer.class),
   SUSPECTS_HEARD(50, SuspectsHeard.class),
+  TOKEN_REQUEST(60, TokenRequest.class),
+  TOKEN_GRANT(61, TokenGrant.class),
 
   MEMBER_JOINED(100, MemberJoined.class),
   MEMBER_LEFT(130, MemberLeft.class),
