--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/Daemon.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/Daemon.java
@@ -2,10 +2,12 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
 import org.pomelohollow.daemon.internal.call.CallHandler;
 import org.pomelohollow.daemon.internal.call.RunningRequests;
 import org.pomelohollow.daemon.internal.call.TargetClient;
@@ -63,10 +65,10 @@
   private final Links links;
   private final LogPump log;
   private final TargetWatch watch;
-  private DisposableServer callerServer;
-  private DisposableServer targetServer;
+  private CallerServer callerServer;
+  private CallerServer targetServer;
   private DisposableServer adminServer;
-  private Optional<DisposableServer> readinessServer = Optional.empty();
+  private Optional<CallerServer> readinessServer = Optional.empty();
   private Disposable documents = Disposables.disposed();
   private Node node;
   private boolean leaving;
@@ -137,12 +139,12 @@
 
   /** Returns the address for callers. */
   public Endpoint callerAddress() {
-    return address(callerServer);
+    return callerServer.address();
   }
 
   /** Returns the address for the target. */
   public Endpoint targetAddress() {
-    return address(targetServer);
+    return targetServer.address();
   }
 
   /** Returns the address for operators. */
@@ -164,7 +166,7 @@
     return Mono.<Void>fromRunnable(this::leave)
         .subscribeOn(loop)
         .then(Mono.delay(LEAVE_GRACE, loop))
-        .then(Mono.fromRunnable(callerServer::dispose))
+        .then(Mono.fromRunnable(callerServer::close))
         .then(when(this::isDrained).timeout(settings.limits().drainTimeout(), Mono.empty()))
         .then(when(node.claims()::canLeave).timeout(HAND_OVER_TIMEOUT, Mono.empty()))
         .then(Mono.delay(LAST_NEWS, loop))
@@ -178,10 +180,9 @@
     log.stop();
     documents.dispose();
     links.close();
-    disposeServer(callerServer);
-    disposeServer(targetServer);
+    Stream.of(callerServer, targetServer).filter(Objects::nonNull).forEach(CallerServer::close);
     disposeServer(adminServer);
-    readinessServer.ifPresent(Daemon::disposeServer);
+    readinessServer.ifPresent(CallerServer::close);
     loops.disposeLater(Duration.ZERO, CLOSE_TIMEOUT).block(CLOSE_TIMEOUT.multipliedBy(2));
     metrics.close();
   }
@@ -222,7 +223,7 @@
         "daemon: {} in {} listens on {} for callers", self, settings.zone(), callerAddress());
   }
 
-  private DisposableServer server(Endpoint a, InboundHandler handler) {
+  private CallerServer server(Endpoint a, InboundHandler handler) {
     return CallerServer.start(a, loops, settings.limits(), () -> leaving, handler);
   }
 
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/CallerServer.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/CallerServer.java
@@ -1,9 +1,18 @@
 package org.pomelohollow.daemon.internal.http;
 
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.ServerSocketChannel;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpServerExpectContinueHandler;
 import io.netty.handler.timeout.IdleStateHandler;
+import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.pomelohollow.daemon.protocol.InboundHandler;
@@ -11,16 +20,20 @@
 import org.pomelohollow.errors.ErrorCode;
 import org.pomelohollow.errors.PomelohollowException;
 import org.pomelohollow.model.Endpoint;
-import reactor.core.publisher.Mono;
-import reactor.netty.ChannelBindException;
-import reactor.netty.DisposableServer;
-import reactor.netty.NettyPipeline;
 import reactor.netty.resources.LoopResources;
-import reactor.netty.tcp.TcpServer;
 
-/** HTTP/1.1 servers whose connections run pipelined requests side by side. */
-public final class CallerServer {
-  private CallerServer() {}
+/**
+ * An HTTP/1.1 server whose connections run pipelined requests side by side. Reactor Netty's own
+ * server runs them one after the other, which would let a caller wait for its own requests.
+ */
+public final class CallerServer implements AutoCloseable {
+  private static final int BACKLOG = 1_024;
+
+  private final Channel channel;
+
+  private CallerServer(Channel channel) {
+    this.channel = channel;
+  }
 
   /**
    * Starts a server.
@@ -33,47 +46,61 @@
    * @return the running server
    * @throws PomelohollowException with {@link ErrorCode#ADDRESS_UNAVAILABLE} if it cannot listen
    */
-  public static DisposableServer start(
+  public static CallerServer start(
       Endpoint address,
       LoopResources loops,
       Settings.Limits limits,
       BooleanSupplier leaving,
       InboundHandler handler) {
-    HttpDecoderConfig decoder =
-        new HttpDecoderConfig()
-            .setMaxInitialLineLength(limits.maxHeaderBytes())
-            .setMaxHeaderSize(limits.maxHeaderBytes())
-            .setValidateHeaders(true)
-            .setAllowDuplicateContentLengths(false);
-    try {
-      return TcpServer.create()
-          .runOn(loops)
-          .host(address.address())
-          .port(address.port())
-          .doOnChannelInit(
-              (observer, channel, remote) ->
-                  channel
-                      .pipeline()
-                      .addBefore(
-                          NettyPipeline.ReactiveBridge, "codec", new HttpServerCodec(decoder))
-                      .addBefore(
-                          NettyPipeline.ReactiveBridge,
-                          "continue",
-                          new HttpServerExpectContinueHandler())
-                      .addBefore(
-                          NettyPipeline.ReactiveBridge,
-                          "idle",
-                          new IdleStateHandler(
-                              0, 0, limits.idleTimeout().toMillis(), TimeUnit.MILLISECONDS))
-                      .addBefore(
-                          NettyPipeline.ReactiveBridge,
-                          "requests",
-                          new CallerConnection(handler, leaving, limits.maxBodyBytes())))
-          .handle((in, out) -> Mono.never())
-          .bindNow();
-    } catch (ChannelBindException e) {
+    EventLoopGroup group = loops.onServer(true);
+    ChannelFuture f =
+        new ServerBootstrap()
+            .group(group)
+            .channel(loops.onChannelClass(ServerSocketChannel.class, group))
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(
+                new ChannelInitializer<SocketChannel>() {
+                  @Override
+                  protected void initChannel(SocketChannel ch) {
+                    ch.pipeline()
+                        .addLast(new HttpServerCodec(decoder(limits)))
+                        .addLast(new HttpServerExpectContinueHandler())
+                        .addLast(idleHandler(limits))
+                        .addLast(new CallerConnection(handler, leaving, limits.maxBodyBytes()));
+                  }
+                })
+            .bind(address.address(), address.port())
+            .awaitUninterruptibly();
+    if (!f.isSuccess()) {
       throw new PomelohollowException(
-          ErrorCode.ADDRESS_UNAVAILABLE, "cannot listen on " + address, e);
+          ErrorCode.ADDRESS_UNAVAILABLE, "cannot listen on " + address, f.cause());
     }
+    return new CallerServer(f.channel());
+  }
+
+  /** Returns the bound address. */
+  public Endpoint address() {
+    InetSocketAddress a = (InetSocketAddress) channel.localAddress();
+    return new Endpoint(a.getAddress().getHostAddress(), a.getPort());
+  }
+
+  /** Stops to listen. Open connections stay. */
+  @Override
+  public void close() {
+    channel.close();
+  }
+
+  private static IdleStateHandler idleHandler(Settings.Limits limits) {
+    return new IdleStateHandler(0, 0, limits.idleTimeout().toMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  private static HttpDecoderConfig decoder(Settings.Limits limits) {
+    return new HttpDecoderConfig()
+        .setMaxInitialLineLength(limits.maxHeaderBytes())
+        .setMaxHeaderSize(limits.maxHeaderBytes())
+        .setValidateHeaders(true)
+        .setAllowDuplicateContentLengths(false);
   }
 }
