--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetExchange.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetExchange.java
@@ -132,7 +132,10 @@
     if (stream.isPresent()) {
       stream.get().tryEmitComplete();
     } else {
-      tell(Flux.just(whole), Optional.of(whole.readableBytes()));
+      boolean bodiless = head.method().equals(HttpMethod.HEAD.name());
+      tell(
+          Flux.just(whole),
+          bodiless ? Optional.empty() : Optional.of(whole.readableBytes()));
     }
   }
 
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/CallerConnection.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/CallerConnection.java
@@ -26,6 +26,7 @@
 import org.reactivestreams.Subscription;
 import org.tinylog.Logger;
 import reactor.core.publisher.BaseSubscriber;
+import reactor.core.publisher.Flux;
 
 /**
  * One connection of a caller. Pipelined requests run side by side, and their answers go out in the
@@ -119,6 +120,12 @@
       refuseMalformed(r);
       return;
     }
+    long length = HttpUtil.getContentLength(r, 0L);
+    if (length > maxBodyBytes) {
+      closing = true;
+      start(r, RequestBody.streamed(Flux.empty(), length));
+      return;
+    }
     reader = new BodyReader(r, maxBodyBytes, () -> ctx.channel().config().setAutoRead(true));
   }
 
