--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetClient.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetClient.java
@@ -7,8 +7,8 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -142,7 +142,7 @@
             new ChannelInitializer<SocketChannel>() {
               @Override
               protected void initChannel(SocketChannel ch) {
-                ch.pipeline().addLast(new HttpClientCodec(DECODER, false, false)).addLast(c);
+                ch.pipeline().addLast(new HttpRequestEncoder(), c.decoder(), c);
               }
             })
         .connect(to.address().address(), to.address().port());
@@ -169,7 +169,8 @@
         send(free.get());
         return;
       }
-      TargetConnection c = new TargetConnection(done -> released(done, to), unreachable);
+      TargetConnection c =
+          new TargetConnection(new AnswerDecoder(DECODER), done -> released(done, to), unreachable);
       connect(c, to).addListener((ChannelFuture f) -> connected(c, f));
     }
 
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetConnection.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetConnection.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
@@ -25,6 +26,7 @@
  * behind a whole answer, ends the connection: the target's bytes are out of step then.
  */
 final class TargetConnection extends SimpleChannelInboundHandler<HttpObject> {
+  private final AnswerDecoder decoder;
   private final Consumer<TargetConnection> released;
   private final Runnable misdirected;
   private Channel channel;
@@ -40,10 +42,13 @@
   /**
    * Creates a connection.
    *
+   * @param decoder decodes its answers
    * @param released takes the connection when it can carry another request
    * @param misdirected told when another target answers at the address
    */
-  TargetConnection(Consumer<TargetConnection> released, Runnable misdirected) {
+  TargetConnection(
+      AnswerDecoder decoder, Consumer<TargetConnection> released, Runnable misdirected) {
+    this.decoder = decoder;
     this.released = released;
     this.misdirected = misdirected;
   }
@@ -53,6 +58,11 @@
     channel = ctx.channel();
   }
 
+  /** Returns what decodes the answers of this connection. */
+  AnswerDecoder decoder() {
+    return decoder;
+  }
+
   boolean isUsable() {
     return channel.isActive() && !broken && exchange.isEmpty();
   }
@@ -78,7 +88,9 @@
     exchange = Optional.of(x);
     onEnd = ended;
     receiving = false;
-    channel.writeAndFlush(x.request(target, nowNanos)).addListener(f -> written(f.cause()));
+    HttpRequest r = x.request(target, nowNanos);
+    decoder.setMethod(r.method());
+    channel.writeAndFlush(r).addListener(f -> written(f.cause()));
     x.streamedBody().ifPresent(this::sendBody);
   }
 
@@ -176,7 +188,10 @@
     onEnd.run();
     sending.dispose();
     idleSinceNanos = System.nanoTime();
-    if (keepAlive && channel.isActive()) {
+    if (decoder.hasLeftover()) {
+      Logger.info("target: bytes behind an answer, closing the connection");
+      close();
+    } else if (keepAlive && channel.isActive()) {
       released.accept(this);
     } else {
       close();
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetExchange.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetExchange.java
@@ -133,9 +133,7 @@
       stream.get().tryEmitComplete();
     } else {
       boolean bodiless = head.method().equals(HttpMethod.HEAD.name());
-      tell(
-          Flux.just(whole),
-          bodiless ? Optional.empty() : Optional.of(whole.readableBytes()));
+      tell(Flux.just(whole), bodiless ? Optional.empty() : Optional.of(whole.readableBytes()));
     }
   }
 
