--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetCall.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetCall.java
@@ -95,7 +95,7 @@
     over = true;
     byte[] b = Base64.getDecoder().decode(a.body());
     sink.answered(
-        new AnswerHead(a.status(), a.headers(), node.admission().load()),
+        new AnswerHead(a.status(), a.headers(), node.admission().load(context.route())),
         Flux.just(Unpooled.wrappedBuffer(b)));
   }
 
@@ -120,7 +120,7 @@
       return;
     }
     sink.answered(
-        new AnswerHead(status, answer.headers(), node.admission().load()),
+        new AnswerHead(status, answer.headers(), node.admission().load(context.route())),
         told.doOnCancel(this::abandon));
   }
 
@@ -164,6 +164,6 @@
   }
 
   private Optional<TargetLoad> load() {
-    return Optional.of(node.admission().load());
+    return Optional.of(node.admission().load(context.route()));
   }
 }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/Node.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/Node.java
@@ -8,7 +8,6 @@
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.pomelohollow.decision.admission.AdmissionController;
-import org.pomelohollow.decision.admission.ThroughputLimit;
 import org.pomelohollow.decision.attempt.AttemptFilter;
 import org.pomelohollow.decision.attempt.AttemptTransport;
 import org.pomelohollow.decision.attempt.RetryBudgets;
@@ -26,14 +25,17 @@
 import org.pomelohollow.decision.request.DeadlineFilter;
 import org.pomelohollow.decision.request.EarlyRefusalFilter;
 import org.pomelohollow.decision.request.Exchange;
+import org.pomelohollow.decision.request.Filter;
 import org.pomelohollow.decision.request.FilterChain;
 import org.pomelohollow.decision.request.KeyFilter;
+import org.pomelohollow.decision.request.Pressures;
 import org.pomelohollow.decision.request.QuotaFilter;
 import org.pomelohollow.decision.request.RouteFilter;
 import org.pomelohollow.decision.request.StalenessFilter;
 import org.pomelohollow.decision.routing.Router;
 import org.pomelohollow.model.Endpoint;
 import org.pomelohollow.model.Member;
+import org.pomelohollow.model.TargetLoad;
 
 /** All decisions of one daemon: its controllers and its filter chain. Confined to one thread. */
 public final class Node {
@@ -70,7 +72,8 @@
     this.config = new ConfigController(effects, setup.terms().documents());
     this.membership =
         new MembershipController(setup.self(), setup.seeds(), config, random, effects);
-    this.admission = new AdmissionController(setup.self().zone(), new ThroughputLimit());
+    this.admission = new AdmissionController(setup.self().zone(), setup.terms().admission());
+    Pressures pressures = new Pressures();
     Router router = new Router(random);
     this.claims = new ClaimController(setup.self().id(), ClaimSettings.DEFAULT, effects);
     QuarantineController quarantine =
@@ -89,12 +92,24 @@
                 random,
                 retries,
                 new RetryBudgets(retries.ratio(), retries.burst()),
-                quarantine));
+                quarantine,
+                (x, load, now) -> heard(pressures, x, load, now)));
     AccountRates quota = setup.terms().rates().create(setup.self().id(), effects);
     KeyFilter keys = new KeyFilter();
+    EarlyRefusalFilter early = new EarlyRefusalFilter(router, pressures, random);
     List<Controller> all =
         List.of(
-            timers, config, keys, quota, router, admission, claims, quarantine, guard, membership);
+            timers,
+            config,
+            keys,
+            early,
+            quota,
+            router,
+            admission,
+            claims,
+            quarantine,
+            guard,
+            membership);
     this.controllers = all.stream().filter(c -> c != claims || setup.terms().claims()).toList();
     this.chain =
         new FilterChain(
@@ -107,9 +122,10 @@
                     claims.settings().windowNanos() / 4,
                     guard.running(),
                     timers),
+                this::noteCall,
                 new QuarantineFilter(quarantine),
                 new ClaimFilter(),
-                new EarlyRefusalFilter(router, random),
+                early,
                 new QuotaFilter(quota),
                 attempts));
   }
@@ -132,6 +148,20 @@
     };
   }
 
+  private void noteCall(Exchange x, long nowNanos, Filter.Chain next) {
+    if (x.isCall()) {
+      admission.called(x.context().route());
+    }
+    next.proceed(x, nowNanos);
+  }
+
+  private void heard(Pressures pressures, Exchange x, TargetLoad load, long nowNanos) {
+    pressures.heard(x.context().route(), load, nowNanos);
+    if (x.isCall()) {
+      admission.heard(x.context().route(), load, nowNanos);
+    }
+  }
+
   private void checkForPause() {
     if (!dispatching) {
       pauses.check(clock.getAsLong()).ifPresent(gap -> dispatchAll(new Event.Resumed(gap)));
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/NodeTerms.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/NodeTerms.java
@@ -1,6 +1,7 @@
 package org.pomelohollow.decision;
 
 import java.util.Objects;
+import org.pomelohollow.decision.admission.AdmissionTerms;
 import org.pomelohollow.decision.attempt.RetrySettings;
 import org.pomelohollow.decision.config.DocumentFormat;
 import org.pomelohollow.decision.quarantine.QuarantineSettings;
@@ -13,6 +14,7 @@
  * What differs between deployments in the decisions of a daemon.
  *
  * @param documents format of the operators' documents
+ * @param admission how targets' daemons admit requests
  * @param retries bounds on extra attempts
  * @param quarantine bounds on suspicion
  * @param rates creates what keeps accounts within their rates
@@ -21,6 +23,7 @@
  */
 public record NodeTerms(
     DocumentFormat documents,
+    AdmissionTerms admission,
     RetrySettings retries,
     QuarantineSettings quarantine,
     RatesFactory rates,
@@ -30,6 +33,7 @@
   public static final NodeTerms STANDARD =
       new NodeTerms(
           DocumentFormat.TOML,
+          AdmissionTerms.STANDARD,
           RetrySettings.DEFAULT,
           QuarantineSettings.DEFAULT,
           (self, effects) -> new QuotaController(self, QuotaTerms.standard(), effects),
@@ -39,6 +43,7 @@
   /** Checks the fields. */
   public NodeTerms {
     Objects.requireNonNull(documents, "documents");
+    Objects.requireNonNull(admission, "admission");
     Objects.requireNonNull(retries, "retries");
     Objects.requireNonNull(quarantine, "quarantine");
     Objects.requireNonNull(rates, "rates");
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionController.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionController.java
@@ -4,12 +4,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Collectors;
 import org.pomelohollow.decision.Controller;
 import org.pomelohollow.decision.Event;
 import org.pomelohollow.decision.StateDump;
 import org.pomelohollow.document.AccountEntry;
 import org.pomelohollow.document.Document;
+import org.pomelohollow.document.RouteEntry;
 import org.pomelohollow.errors.ErrorCode;
+import org.pomelohollow.model.Priority;
 import org.pomelohollow.model.RequestContext;
 import org.pomelohollow.model.TargetLoad;
 import org.pomelohollow.model.TargetState;
@@ -36,8 +39,12 @@
   private final RouteTimes times = new RouteTimes();
   private final CutOff cutOff = new CutOff();
   private final Overload overload = new Overload();
+  private final Pressure pressure = new Pressure(Priority.MAX_COUNT);
+  private final CallGraph graph = new CallGraph();
+  private final AdmissionTerms terms;
   private final Map<String, Ticket> running = new HashMap<>();
   private Optional<Document> document = Optional.empty();
+  private Map<String, RouteEntry> routes = Map.of();
   private boolean draining;
   private boolean stopping;
   private boolean starting;
@@ -50,8 +57,19 @@
    * @param algorithm adapts the limit of a target that isn't cold
    */
   public AdmissionController(ZoneId zone, LimitAlgorithm algorithm) {
+    this(zone, new AdmissionTerms(() -> algorithm, 1, WaitPolicy.STANDING_QUEUE));
+  }
+
+  /**
+   * Creates a controller without a target.
+   *
+   * @param zone availability zone of this daemon
+   * @param terms how requests are admitted
+   */
+  public AdmissionController(ZoneId zone, AdmissionTerms terms) {
     this.zone = zone;
-    this.target = new TargetLimit(algorithm);
+    this.terms = terms;
+    this.target = new TargetLimit(terms.limit().get(), terms.slotShare());
   }
 
   /**
@@ -98,6 +116,7 @@
             t.ownNanos(nowNanos), inFlight(), inFlight() >= target.limit(), completion);
     t.end();
     running.remove(t.context().requestId(), t);
+    graph.ended(t.context().route());
     shares.ended(t.isBulk());
     long held = nowNanos - t.startedNanos();
     queue(t).settle(t, held);
@@ -140,10 +159,49 @@
     return t::outboundEnded;
   }
 
-  /** Returns the load to carry back to entries. */
+  /**
+   * Returns the load to carry back to entries.
+   *
+   * @param route route of the request that is answered, whose calls may lead to fuller targets
+   * @return the load
+   */
+  public TargetLoad load(String route) {
+    return new TargetLoad(
+        target.toldLimit(now),
+        inFlight(),
+        waiting(),
+        cutOff.get(),
+        Math.max(pressure.value(), graph.pressure(route, now)));
+  }
+
+  /** Returns the load of the target itself. */
   public TargetLoad load() {
     return new TargetLoad(
-        target.toldLimit(now), inFlight(), calls.size() + transfers.size(), cutOff.get());
+        target.toldLimit(now), inFlight(), waiting(), cutOff.get(), pressure.value());
+  }
+
+  /**
+   * Notes that the target made a call to another service.
+   *
+   * @param calledRoute route of the call
+   */
+  public void called(String calledRoute) {
+    graph.called(calledRoute);
+  }
+
+  /**
+   * Notes what the daemon of a called target told of its load.
+   *
+   * @param calledRoute route of the call
+   * @param load the load
+   * @param nowNanos current monotonic time, in nanoseconds
+   */
+  public void heard(String calledRoute, TargetLoad load, long nowNanos) {
+    graph.heard(calledRoute, load.pressure(), nowNanos);
+  }
+
+  private int waiting() {
+    return calls.size() + transfers.size();
   }
 
   /** Returns what to tell peers of the target. */
@@ -191,6 +249,8 @@
         .line("queued calls", calls.size())
         .line("queued large transfers", transfers.size())
         .line("cut-off rank", cutOff.get().rank())
+        .line("pressure", pressure.value())
+        .line("calls", graph)
         .build();
   }
 
@@ -199,7 +259,8 @@
       target.suspectCold(nowNanos);
     }
     document = Optional.of(d);
-    target.configure(d);
+    routes = d.routes().stream().collect(Collectors.toMap(RouteEntry::name, r -> r, (a, b) -> b));
+    target.configure(d, nowNanos);
     cutOff.setPriorities(d.priorities().size());
   }
 
@@ -224,6 +285,7 @@
   private void elapse(long nowNanos) {
     now = nowNanos;
     cutOff.elapse(target.limit(), inFlight(), nowNanos);
+    pressure.elapse(inFlight() + waiting(), target.limit(), nowNanos);
   }
 
   private AdmissionQueue queue(Ticket t) {
@@ -264,6 +326,7 @@
     target.started(nowNanos);
     t.start(target.epoch(), nowNanos);
     running.put(t.context().requestId(), t);
+    graph.started(t.context().route());
     cutOff.started(t.context().priority());
     t.listener().admitted();
   }
@@ -279,7 +342,9 @@
 
   private void tick(long nowNanos) {
     long bound = overload.waitBoundNanos(nowNanos);
-    calls.removeIf(t -> nowNanos - t.arrivedNanos() > bound).forEach(t -> shed(t, nowNanos));
+    calls
+        .removeIf(t -> nowNanos - t.arrivedNanos() > waitBound(t, bound))
+        .forEach(t -> shed(t, nowNanos));
     dropExpired(calls, nowNanos);
     dropExpired(transfers, nowNanos);
     calls.prune();
@@ -294,6 +359,12 @@
     }
   }
 
+  private long waitBound(Ticket t, long queueBoundNanos) {
+    return terms
+        .waits()
+        .boundNanos(Optional.ofNullable(routes.get(t.context().route())), queueBoundNanos);
+  }
+
   private void dropExpired(AdmissionQueue q, long nowNanos) {
     q.removeIf(t -> t.context().remainingNanos(nowNanos) <= 0)
         .forEach(t -> refuse(t, ErrorCode.DEADLINE_EXCEEDED, nowNanos));
--- /dev/null
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionTerms.java
@@ -0,0 +1,26 @@
+package org.pomelohollow.decision.admission;
+
+import java.util.Objects;
+import java.util.function.Supplier;
+
+/**
+ * How a target's daemon admits requests.
+ *
+ * @param limit creates the algorithm that adapts the limit
+ * @param slotShare share of the announced slots that is used at most, above 0 and at most 1
+ * @param waits how long requests may wait
+ */
+public record AdmissionTerms(Supplier<LimitAlgorithm> limit, double slotShare, WaitPolicy waits) {
+  /** Terms of a daemon that is told nothing else. */
+  public static final AdmissionTerms STANDARD =
+      new AdmissionTerms(ThroughputLimit::new, 1, WaitPolicy.STANDING_QUEUE);
+
+  /** Checks the fields. */
+  public AdmissionTerms {
+    Objects.requireNonNull(limit, "limit");
+    Objects.requireNonNull(waits, "waits");
+    if (!(slotShare > 0 && slotShare <= 1)) {
+      throw new IllegalArgumentException("share of slots " + slotShare);
+    }
+  }
+}
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/TargetLimit.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/TargetLimit.java
@@ -1,6 +1,7 @@
 package org.pomelohollow.decision.admission;
 
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.pomelohollow.decision.TargetAnnouncement;
 import org.pomelohollow.document.ColdRate;
 import org.pomelohollow.document.Document;
@@ -12,6 +13,7 @@
   private static final long GAP_NANOS = 3_000_000_000L;
 
   private final LimitAlgorithm algorithm;
+  private final double slotShare;
   private final ColdStart coldStart = new ColdStart();
   private final LatencyJump jump = new LatencyJump();
   private Optional<TargetAnnouncement> target = Optional.empty();
@@ -20,8 +22,9 @@
   private Optional<ColdRate> paceRate = Optional.empty();
   private long announcedNanos;
 
-  TargetLimit(LimitAlgorithm algorithm) {
+  TargetLimit(LimitAlgorithm algorithm, double slotShare) {
     this.algorithm = algorithm;
+    this.slotShare = slotShare;
   }
 
   Optional<TargetAnnouncement> target() {
@@ -82,10 +85,10 @@
                 draining));
   }
 
-  void configure(Document d) {
+  void configure(Document d, long nowNanos) {
     document = Optional.of(d);
     updateCeiling();
-    updatePace();
+    updatePace(nowNanos);
   }
 
   void announced(TargetAnnouncement a, long nowNanos) {
@@ -94,7 +97,7 @@
     target = Optional.of(a);
     announcedNanos = nowNanos;
     updateCeiling();
-    updatePace();
+    updatePace(nowNanos);
     if (pace.isPresent()) {
       pace.get().announced(a.coldMillis(), nowNanos);
       if (!sameRun) {
@@ -157,18 +160,28 @@
     algorithm.setCeiling(ceiling());
   }
 
-  /** Keeps the pace while the operator's rate stays the same. */
-  private void updatePace() {
+  /**
+   * Keeps the pace while the operator's rate stays the same. A target may have announced itself
+   * before the rate was known.
+   */
+  private void updatePace(long nowNanos) {
     Optional<ColdRate> rate = service().flatMap(ServiceEntry::coldRate);
     if (!rate.equals(paceRate)) {
       paceRate = rate;
       pace = rate.map(ColdPace::new);
+      target.ifPresent(
+          t -> pace.ifPresent(p -> p.announced(coldMillisLeft(t, nowNanos), nowNanos)));
     }
   }
 
+  private long coldMillisLeft(TargetAnnouncement t, long nowNanos) {
+    return Math.max(0, t.coldMillis() - TimeUnit.NANOSECONDS.toMillis(nowNanos - announcedNanos));
+  }
+
   private int ceiling() {
     TargetAnnouncement t = target.orElseThrow();
-    int announced = Math.min(t.slots(), t.connections());
+    int slots = Math.max(1, (int) (t.slots() * slotShare));
+    int announced = Math.min(slots, t.connections());
     return service()
         .map(s -> Math.min(announced, Math.min(s.slots(), s.connections())))
         .orElse(announced);
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/attempt/AttemptFilter.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/attempt/AttemptFilter.java
@@ -37,6 +37,7 @@
    * @param settings bounds on extra attempts
    * @param budgets bounds on extra attempts per service
    * @param quarantine knows the requests that may run on one target only
+   * @param feedback hears what targets' daemons tell of their load
    */
   public record Parts(
       Router router,
@@ -46,5 +47,6 @@
       RandomGenerator random,
       RetrySettings settings,
       RetryBudgets budgets,
-      QuarantineController quarantine) {}
+      QuarantineController quarantine,
+      LoadFeedback feedback) {}
 }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/attempt/Attempts.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/attempt/Attempts.java
@@ -233,6 +233,7 @@
     private void end(AttemptResult.Outcome outcome) {
       over = true;
       long now = now();
+      load.ifPresent(l -> parts.feedback().heard(x, l, now));
       parts.router().ended(to, new AttemptResult(outcome, now - startedNanos, load), now);
     }
   }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/request/Exchange.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/request/Exchange.java
@@ -22,7 +22,7 @@
   private Optional<RouteEntry> route = Optional.empty();
   private Optional<ServiceId> service = Optional.empty();
   private Optional<AccountId> account = Optional.empty();
-  private Optional<Priority> accountPriority = Optional.empty();
+  private int rankOffset;
   private Optional<RequestContext> context = Optional.empty();
   private Optional<Verdict> end = Optional.empty();
   private int unsettledAttempts;
@@ -73,9 +73,17 @@
     service = Optional.of(s);
   }
 
-  /** Returns the priority of the account if it has one of its own, else that of the route. */
+  /** Returns the priority of the route, lowered by the rank of the account. */
   Priority priority() {
-    return accountPriority.orElseGet(() -> route().priority());
+    return new Priority(Math.min(route().priority().rank() + rankOffset, Priority.MAX_COUNT - 1));
+  }
+
+  /**
+   * Returns whether this is a call of a running request: its target names that request, or it comes
+   * without a key on an open route, as targets' calls do where they name none.
+   */
+  public boolean isCall() {
+    return head.parent().isPresent() || (route().open() && head.key().isEmpty());
   }
 
   /** Returns the authenticated account, empty on open routes. */
@@ -87,8 +95,8 @@
     account = Optional.of(a);
   }
 
-  void setAccountPriority(Priority p) {
-    accountPriority = Optional.of(p);
+  void setRankOffset(int ranks) {
+    rankOffset = ranks;
   }
 
   /**
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/request/KeyFilter.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/request/KeyFilter.java
@@ -10,7 +10,6 @@
 import org.pomelohollow.document.KeyEntry;
 import org.pomelohollow.errors.ErrorCode;
 import org.pomelohollow.model.AccountId;
-import org.pomelohollow.model.Priority;
 
 /**
  * Finds the account that a caller's key speaks for. Missing, malformed, unknown and withdrawn keys
@@ -18,7 +17,7 @@
  */
 public final class KeyFilter implements Filter, Controller {
   private Map<String, AccountId> accounts = Map.of();
-  private Map<AccountId, Priority> priorities = Map.of();
+  private Map<AccountId, Integer> rankOffsets = Map.of();
 
   @Override
   public void apply(Exchange x, long nowNanos, Chain next) {
@@ -33,7 +32,7 @@
     }
     if (!x.route().open() || x.head().parent().isPresent()) {
       a.ifPresent(x::setAccount);
-      a.map(priorities::get).ifPresent(x::setAccountPriority);
+      a.map(rankOffsets::get).ifPresent(x::setRankOffset);
     }
     next.proceed(x, nowNanos);
   }
@@ -46,13 +45,13 @@
         m.put(k.digest(), k.account());
       }
       accounts = m;
-      priorities = prioritiesOf(c.configuration().document());
+      rankOffsets = rankOffsetsOf(c.configuration().document());
     }
   }
 
-  private static Map<AccountId, Priority> prioritiesOf(Document d) {
-    Map<AccountId, Priority> m = new HashMap<>();
-    d.accounts().forEach((id, e) -> e.priority().ifPresent(p -> m.put(id, p)));
+  private static Map<AccountId, Integer> rankOffsetsOf(Document d) {
+    Map<AccountId, Integer> m = new HashMap<>();
+    d.accounts().forEach((id, e) -> m.put(id, e.rankOffset()));
     return m;
   }
 
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/document/AccountEntry.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/document/AccountEntry.java
@@ -1,7 +1,5 @@
 package org.pomelohollow.document;
 
-import java.util.Objects;
-import java.util.Optional;
 import org.pomelohollow.model.AccountId;
 import org.pomelohollow.model.Priority;
 
@@ -12,10 +10,10 @@
  * @param ratePerSecond sustained root requests per second over all daemons together
  * @param burst root requests that may come at once, at least 1
  * @param weight share at a busy target relative to other accounts
- * @param priority priority of the account's requests, in place of their routes' if present
+ * @param rankOffset ranks by which the account's requests are less important than their routes say
  */
 public record AccountEntry(
-    AccountId id, double ratePerSecond, double burst, double weight, Optional<Priority> priority) {
+    AccountId id, double ratePerSecond, double burst, double weight, int rankOffset) {
   /** Highest rate and burst that a document may grant. */
   public static final double MAX_RATE = 10_000_000;
 
@@ -37,7 +35,7 @@
    * @param weight share at a busy target relative to other accounts
    */
   public AccountEntry(AccountId id, double ratePerSecond, double burst, double weight) {
-    this(id, ratePerSecond, burst, weight, Optional.empty());
+    this(id, ratePerSecond, burst, weight, 0);
   }
 
   /** Returns whether the account's rate is bounded at all. */
@@ -47,7 +45,7 @@
 
   /** Checks the ranges. */
   public AccountEntry {
-    Objects.requireNonNull(priority, "priority");
+    Ranges.check("rank offset", rankOffset, 0, Priority.MAX_COUNT);
     Ranges.check("rate", ratePerSecond, MIN_RATE, MAX_RATE);
     Ranges.check("burst", burst, 1, MAX_RATE);
     Ranges.check("weight", weight, MIN_WEIGHT, MAX_WEIGHT);
--- a/org.pomelohollow.pgm/src/main/java/org/pomelohollow/pgm/Main.java
+++ b/org.pomelohollow.pgm/src/main/java/org/pomelohollow/pgm/Main.java
@@ -25,6 +25,7 @@
           new KeyCommand(),
           new LogCommand(),
           new PublishCommand(),
+          new RehearseCommand(),
           new ShowCommand(),
           new TargetCommand());
 
