--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/DaemonMetrics.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/DaemonMetrics.java
@@ -1,10 +1,13 @@
 package org.pomelohollow.daemon;
 
+import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
-import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.pomelohollow.message.PeerMessage;
 import org.pomelohollow.model.TargetLoad;
@@ -17,6 +20,9 @@
   private final PrometheusMeterRegistry registry =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
 
+  private final Map<String, Timer> requests = new HashMap<>();
+  private final Map<String, Counter> controls = new HashMap<>();
+
   PrometheusMeterRegistry registry() {
     return registry;
   }
@@ -31,21 +37,27 @@
   }
 
   void requestEnded(Verdict v, long nanos) {
-    Timer.builder("pomelohollow.requests")
-        .tag("verdict", v.label())
-        .tag("code", code(v))
-        .register(registry)
-        .record(Duration.ofNanos(nanos));
+    requests
+        .computeIfAbsent(
+            v.label() + ' ' + code(v),
+            k ->
+                Timer.builder("pomelohollow.requests")
+                    .tag("verdict", v.label())
+                    .tag("code", code(v))
+                    .register(registry))
+        .record(nanos, TimeUnit.NANOSECONDS);
   }
 
   void control(String direction, PeerMessage m, int bytes) {
     String type = m.getClass().getSimpleName();
-    registry
-        .counter("pomelohollow.control.bytes", "direction", direction, "type", type)
-        .increment(bytes);
-    registry
-        .counter("pomelohollow.control.messages", "direction", direction, "type", type)
-        .increment();
+    control("pomelohollow.control.bytes", direction, type).increment(bytes);
+    control("pomelohollow.control.messages", direction, type).increment();
+  }
+
+  private Counter control(String name, String direction, String type) {
+    return controls.computeIfAbsent(
+        name + ' ' + direction + ' ' + type,
+        k -> registry.counter(name, "direction", direction, "type", type));
   }
 
   void linkRejected() {
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/AnswerSink.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/AnswerSink.java
@@ -18,6 +18,16 @@
    */
   void answered(AnswerHead head, Flux<ByteBuf> body);
 
+  /**
+   * The target answers, and its short answer is here as a whole.
+   *
+   * @param head status and headers
+   * @param body the whole body, handed over
+   */
+  default void answeredWhole(AnswerHead head, ByteBuf body) {
+    answered(head, Flux.just(body));
+  }
+
   /**
    * There is no answer.
    *
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetCall.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetCall.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import java.util.Base64;
+import java.util.List;
 import java.util.Optional;
 import java.util.function.LongSupplier;
 import org.pomelohollow.decision.Node;
@@ -11,6 +12,7 @@
 import org.pomelohollow.decision.guard.GuardedCall;
 import org.pomelohollow.decision.guard.RecordedAnswer;
 import org.pomelohollow.errors.ErrorCode;
+import org.pomelohollow.model.HeaderField;
 import org.pomelohollow.model.RequestContext;
 import org.pomelohollow.model.TargetLoad;
 import org.pomelohollow.model.Verdict;
@@ -124,6 +126,26 @@
         told.doOnCancel(this::abandon));
   }
 
+  @Override
+  public void answeredWhole(int status, List<HeaderField> headers, ByteBuf body) {
+    if (over) {
+      body.release();
+      return;
+    }
+    if (keepsAnswer()) {
+      AnswerRecorder r = new AnswerRecorder(status, headers);
+      r.add(body);
+      recorder = Optional.of(r);
+    }
+    finish(Completion.ANSWERED);
+    if (abandoned) {
+      body.release();
+    } else {
+      sink.answeredWhole(
+          new AnswerHead(status, headers, node.admission().load(context.route())), body);
+    }
+  }
+
   @Override
   public void shed(long retryAfterMillis) {
     end(Completion.SHED, new Verdict.NotRun(ErrorCode.TARGET_REFUSED, retryAfterMillis));
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetExchange.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetExchange.java
@@ -119,7 +119,10 @@
       Sinks.Many<ByteBuf> s = Sinks.many().unicast().onBackpressureBuffer();
       s.tryEmitNext(whole).orThrow();
       stream = Optional.of(s);
-      tell(s.asFlux(), Optional.empty());
+      HttpResponse r = answer.orElseThrow();
+      listener.answered(
+          r.status().code(),
+          new TargetListener.Answer(protocol.forCaller(r.headers()), s.asFlux()));
     }
   }
 
@@ -132,8 +135,7 @@
     if (stream.isPresent()) {
       stream.get().tryEmitComplete();
     } else {
-      boolean bodiless = head.method().equals(HttpMethod.HEAD.name());
-      tell(Flux.just(whole), bodiless ? Optional.empty() : Optional.of(whole.readableBytes()));
+      tellWhole();
     }
   }
 
@@ -167,11 +169,13 @@
     return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, m, head.uri(), b);
   }
 
-  private void tell(Flux<ByteBuf> content, Optional<Integer> length) {
+  private void tellWhole() {
     HttpResponse r = answer.orElseThrow();
     List<HeaderField> fields = new ArrayList<>(protocol.forCaller(r.headers()));
-    length.ifPresent(n -> setLength(fields, n));
-    listener.answered(r.status().code(), new TargetListener.Answer(fields, content));
+    if (!head.method().equals(HttpMethod.HEAD.name())) {
+      setLength(fields, whole.readableBytes());
+    }
+    listener.answeredWhole(r.status().code(), fields, whole);
   }
 
   private static void setLength(List<HeaderField> fields, int n) {
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetListener.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetListener.java
@@ -16,6 +16,15 @@
    */
   void answered(int status, Answer answer);
 
+  /**
+   * The whole of a short answer is here.
+   *
+   * @param status its status
+   * @param headers fields for the caller, with the length of the body
+   * @param body the body, handed over
+   */
+  void answeredWhole(int status, List<HeaderField> headers, ByteBuf body);
+
   /**
    * The target refused in the form of its contract: it has not run the request.
    *
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/CallerCall.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/CallerCall.java
@@ -146,6 +146,15 @@
       }
     }
 
+    @Override
+    public void answeredWhole(AnswerHead head, ByteBuf content) {
+      if (answered) {
+        content.release();
+      } else {
+        collected(head, content);
+      }
+    }
+
     @Override
     public void refused(Verdict verdict, Optional<TargetLoad> load) {
       listener.refused(verdict, load);
@@ -171,7 +180,12 @@
       }
       answered = true;
       listener.answered(head.load());
-      sendWhole(head, whole);
+      if (hasNoBody(head.status())) {
+        whole.release();
+        sendWhole(head, Unpooled.EMPTY_BUFFER);
+      } else {
+        sendWhole(head, whole);
+      }
       listener.ended(true);
     }
 
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/link/CallingStream.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/link/CallingStream.java
@@ -59,6 +59,7 @@
     switch (f.type()) {
       case CREDIT -> credit(f);
       case ANSWER -> answer(codec.decode(AnswerHead.class, f.takeBytes()));
+      case WHOLE_ANSWER -> answerWhole(f);
       case REFUSAL -> refuse(codec.decode(Refusal.class, f.takeBytes()));
       case DATA -> receiver.data(f.payload());
       case END -> {
@@ -102,6 +103,18 @@
     }
   }
 
+  private void answerWhole(Frame f) {
+    if (answered || over) {
+      f.payload().release();
+      return;
+    }
+    answered = true;
+    close();
+    byte[] head = new byte[(int) Math.min(f.number(), f.payload().readableBytes())];
+    f.payload().readBytes(head);
+    sink.answeredWhole(codec.decode(AnswerHead.class, head), f.payload());
+  }
+
   private void refuse(Refusal r) {
     if (answered || over) {
       return;
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/link/FrameCodec.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/link/FrameCodec.java
@@ -18,6 +18,9 @@
   /** Greatest encoded frame, in bytes. */
   static final int MAX_FRAME_BYTES = 4 << 20;
 
+  private static final MessagePack.PackerConfig HEADS =
+      new MessagePack.PackerConfig().withBufferSize(64);
+
   /** Bytes of the length in front of each frame. */
   static final int LENGTH_BYTES = 4;
 
@@ -26,7 +29,7 @@
 
   @Override
   protected void encode(ChannelHandlerContext ctx, Frame f, List<Object> out) throws IOException {
-    try (MessageBufferPacker p = MessagePack.newDefaultBufferPacker()) {
+    try (MessageBufferPacker p = HEADS.newBufferPacker()) {
       p.packInt(f.type().number());
       p.packLong(f.stream());
       p.packLong(f.number());
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/link/FrameType.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/link/FrameType.java
@@ -25,7 +25,9 @@
   /** Ends a stream at once. */
   RESET(10),
   /** Shows that the sender lives. */
-  PING(11);
+  PING(11),
+  /** Head and body of a short answer in one; its number is the length of the head. */
+  WHOLE_ANSWER(12);
 
   private static final FrameType[] ALL = values();
 
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/link/ServingStream.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/link/ServingStream.java
@@ -1,6 +1,7 @@
 package org.pomelohollow.daemon.internal.link;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import java.util.Optional;
 import org.pomelohollow.daemon.internal.call.AnswerSink;
 import org.pomelohollow.daemon.internal.call.CallHandler;
@@ -79,6 +80,18 @@
     body.subscribe(sender);
   }
 
+  @Override
+  public void answeredWhole(AnswerHead head, ByteBuf body) {
+    if (over) {
+      body.release();
+      return;
+    }
+    close();
+    byte[] h = codec.encode(head);
+    ByteBuf all = Unpooled.wrappedBuffer(Unpooled.wrappedBuffer(h), body);
+    link.send(new Frame(FrameType.WHOLE_ANSWER, id, h.length, all));
+  }
+
   @Override
   public void refused(Verdict verdict, Optional<TargetLoad> load) {
     if (!over) {
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/protocol/HeaderRules.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/protocol/HeaderRules.java
@@ -8,6 +8,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import org.pomelohollow.model.HeaderField;
 import org.pomelohollow.wire.Headers;
 
@@ -40,6 +41,9 @@
           Headers.ERROR.toLowerCase(Locale.ROOT),
           Headers.AUTHORIZATION.toLowerCase(Locale.ROOT));
 
+  private static final int MAX_NAMES = 256;
+  private static final Map<String, String> LOWER_CASE = new ConcurrentHashMap<>();
+
   private HeaderRules() {}
 
   /**
@@ -74,7 +78,7 @@
     Set<String> named = namedByConnection(h);
     List<HeaderField> out = new ArrayList<>(h.size());
     for (Map.Entry<String, String> e : h) {
-      String n = e.getKey().toLowerCase(Locale.ROOT);
+      String n = lowerCase(e.getKey());
       if (!HOP_BY_HOP.contains(n) && !dropped.contains(n) && !named.contains(n)) {
         out.add(new HeaderField(e.getKey(), e.getValue()));
       }
@@ -82,7 +86,23 @@
     return out;
   }
 
+  /** Names come again and again, so their lower-case forms are kept. */
+  private static String lowerCase(String name) {
+    String known = LOWER_CASE.get(name);
+    if (known != null) {
+      return known;
+    }
+    String n = name.toLowerCase(Locale.ROOT);
+    if (LOWER_CASE.size() < MAX_NAMES) {
+      LOWER_CASE.put(name, n);
+    }
+    return n;
+  }
+
   private static Set<String> namedByConnection(HttpHeaders h) {
+    if (!h.contains(HttpHeaderNames.CONNECTION)) {
+      return Set.of();
+    }
     Set<String> out = new HashSet<>();
     for (String v : h.getAll(HttpHeaderNames.CONNECTION)) {
       for (String name : v.split(",", -1)) {
--- a/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/attempt/Fixture.java
+++ b/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/attempt/Fixture.java
@@ -60,7 +60,8 @@
         new QuarantineController(member(0), QuarantineSettings.DEFAULT, random, e -> {});
     q.handle(new Event.RosterChanged(roster(targets)), clock.getAsLong());
     AttemptFilter.Parts parts =
-        new AttemptFilter.Parts(router, transport, timers, clock, random, s, budgets, q);
+        new AttemptFilter.Parts(
+            router, transport, timers, clock, random, s, budgets, q, (x, load, now) -> {});
     chain =
         new FilterChain(
             List.of(
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionQueue.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionQueue.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.NoSuchElementException;
 import java.util.Optional;
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
@@ -35,11 +36,11 @@
   }
 
   Optional<Ticket> peek() {
-    return queues.stream().filter(q -> q.size() > 0).findFirst().flatMap(FairQueue::peek);
+    return size == 0 ? Optional.empty() : first().peek();
   }
 
   Ticket poll() {
-    Ticket t = queues.stream().filter(q -> q.size() > 0).findFirst().orElseThrow().poll();
+    Ticket t = first().poll();
     size--;
     return t;
   }
@@ -63,6 +64,9 @@
   }
 
   List<Ticket> removeIf(Predicate<Ticket> p) {
+    if (size == 0) {
+      return List.of();
+    }
     List<Ticket> out = new ArrayList<>();
     queues.forEach(q -> out.addAll(q.removeIf(p)));
     size -= out.size();
@@ -77,6 +81,15 @@
     queues.forEach(FairQueue::prune);
   }
 
+  private FairQueue first() {
+    for (FairQueue q : queues) {
+      if (q.size() > 0) {
+        return q;
+      }
+    }
+    throw new NoSuchElementException("no request waits");
+  }
+
   private FairQueue queue(Ticket t) {
     return queues.get(t.context().priority().rank());
   }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/quarantine/QuarantineController.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/quarantine/QuarantineController.java
@@ -130,6 +130,9 @@
    * @param nowNanos current monotonic time, in nanoseconds
    */
   public void hear(long fingerprint, long nowNanos) {
+    if (!settings.breakSuffices() && !table.contains(fingerprint, nowNanos)) {
+      return;
+    }
     table.add(fingerprint, Set.of(), nowNanos + COINCIDENCE_NANOS, nowNanos);
   }
 
@@ -180,6 +183,9 @@
       return;
     }
     brokenNanos.put(fingerprint, nowNanos);
+    if (!settings.breakSuffices()) {
+      return;
+    }
     blame(fingerprint, startedRun, settings.suspectNanos(), nowNanos);
     if (nowNanos - toldNanos >= TELL_NANOS) {
       tell(nowNanos);
@@ -219,7 +225,8 @@
       receive(h, nowNanos);
     } else if (event instanceof Event.Tick) {
       table.expire(nowNanos);
-      brokenNanos.values().removeIf(t -> nowNanos - t > CONFIRMATION_NANOS);
+      long kept = settings.breakSuffices() ? CONFIRMATION_NANOS : COINCIDENCE_NANOS;
+      brokenNanos.values().removeIf(t -> nowNanos - t > kept);
       tell(nowNanos);
     }
   }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/quarantine/QuarantineSettings.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/quarantine/QuarantineSettings.java
@@ -11,6 +11,8 @@
  * @param maxWaitNanos longest wait of a suspect for other suspects at its target, in nanoseconds
  * @param maxSuspects most fingerprints that a daemon remembers
  * @param fanOut most peers that are told of a suspect
+ * @param breakSuffices whether a broken connection alone makes a suspect; elsewhere only the death
+ *     of the target does
  */
 public record QuarantineSettings(
     int maxDeaths,
@@ -18,7 +20,8 @@
     long quarantineNanos,
     long maxWaitNanos,
     int maxSuspects,
-    int fanOut) {
+    int fanOut,
+    boolean breakSuffices) {
   /** Settings of a daemon that is told nothing else. */
   public static final QuarantineSettings DEFAULT =
       new QuarantineSettings(
@@ -27,7 +30,8 @@
           TimeUnit.MINUTES.toNanos(10),
           TimeUnit.SECONDS.toNanos(10),
           4_096,
-          32);
+          32,
+          true);
 
   /** Checks the ranges. */
   public QuarantineSettings {
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/rates/PooledRates.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/rates/PooledRates.java
@@ -48,6 +48,7 @@
   private final MemberId self;
   private final Effects effects;
   private final KnownHosts hosts = new KnownHosts();
+  private final Map<AccountId, Optional<MemberId>> homes = new HashMap<>();
   private final Map<AccountId, Bucket> homeBuckets = new HashMap<>();
   private final Map<AccountId, AccountTokens> tokens = new HashMap<>();
   private Map<AccountId, AccountEntry> accounts = Map.of();
@@ -94,10 +95,12 @@
       resize(nowNanos);
     } else if (event instanceof Event.RosterChanged c) {
       roster = Optional.of(c.roster());
+      homes.clear();
       hosts.change(c.roster(), nowNanos);
       resize(nowNanos);
     } else if (event instanceof Event.ConfigInForce c) {
       accounts = c.configuration().document().accounts();
+      homes.clear();
       tokens.keySet().retainAll(accounts.keySet());
       homeBuckets.keySet().retainAll(accounts.keySet());
       resize(nowNanos);
@@ -150,6 +153,10 @@
   }
 
   private Optional<MemberId> home(AccountId a) {
+    return homes.computeIfAbsent(a, this::chooseHome);
+  }
+
+  private Optional<MemberId> chooseHome(AccountId a) {
     return roster.flatMap(
         r ->
             r.members().stream()
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/request/KeyFilter.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/request/KeyFilter.java
@@ -17,15 +17,13 @@
  */
 public final class KeyFilter implements Filter, Controller {
   private Map<String, AccountId> accounts = Map.of();
+  private final Map<String, AccountId> byKey = new HashMap<>();
   private Map<AccountId, Integer> rankOffsets = Map.of();
 
   @Override
   public void apply(Exchange x, long nowNanos, Chain next) {
     Optional<AccountId> a =
-        x.head()
-            .parent()
-            .map(p -> p.account())
-            .orElseGet(() -> x.head().key().map(KeyDigest::of).map(accounts::get));
+        x.head().parent().map(p -> p.account()).orElseGet(() -> x.head().key().map(this::account));
     if (a.isEmpty() && !x.route().open()) {
       x.refuse(ErrorCode.KEY_REJECTED);
       return;
@@ -37,6 +35,19 @@
     next.proceed(x, nowNanos);
   }
 
+  /** Finds the account of a key. Digests of keys in force are kept, as they are slow to compute. */
+  private AccountId account(String key) {
+    AccountId known = byKey.get(key);
+    if (known != null) {
+      return known;
+    }
+    AccountId a = accounts.get(KeyDigest.of(key));
+    if (a != null) {
+      byKey.put(key, a);
+    }
+    return a;
+  }
+
   @Override
   public void handle(Event event, long nowNanos) {
     if (event instanceof Event.ConfigInForce c) {
@@ -45,6 +56,7 @@
         m.put(k.digest(), k.account());
       }
       accounts = m;
+      byKey.clear();
       rankOffsets = rankOffsetsOf(c.configuration().document());
     }
   }
--- /dev/null
+++ b/org.pomelohollow.wire/src/main/java/org/pomelohollow/wire/CallFormats.java
@@ -0,0 +1,124 @@
+package org.pomelohollow.wire;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+import org.pomelohollow.model.HeaderField;
+import org.pomelohollow.model.Priority;
+import org.pomelohollow.model.TargetLoad;
+
+/**
+ * MessagePack formats of the messages that every call needs, field by field. They are read and
+ * written thousands of times a second, also by processes that have just started, where the general
+ * mapping costs several times as much.
+ */
+final class CallFormats {
+  private CallFormats() {}
+
+  static void pack(MessagePacker p, CallHead h) throws IOException {
+    p.packString(h.requestId()).packString(h.rootId()).packString(h.service());
+    p.packString(h.route());
+    packOptional(p, h.account());
+    p.packInt(h.priority()).packLong(h.remainingMicros()).packBoolean(h.idempotent());
+    packOptional(p, h.idempotencyKey());
+    p.packLong(h.fingerprint()).packInt(h.retryAllowance()).packInt(h.depth());
+    p.packBoolean(h.bulk()).packString(h.method()).packString(h.uri());
+    packFields(p, h.headers());
+    if (h.streamedLength().isPresent()) {
+      p.packLong(h.streamedLength().get());
+    } else {
+      p.packNil();
+    }
+    p.packBinaryHeader(h.body().length()).writePayload(h.body().array());
+  }
+
+  static CallHead callHead(MessageUnpacker u) throws IOException {
+    return new CallHead(
+        u.unpackString(),
+        u.unpackString(),
+        u.unpackString(),
+        u.unpackString(),
+        optional(u),
+        u.unpackInt(),
+        u.unpackLong(),
+        u.unpackBoolean(),
+        optional(u),
+        u.unpackLong(),
+        u.unpackInt(),
+        u.unpackInt(),
+        u.unpackBoolean(),
+        u.unpackString(),
+        u.unpackString(),
+        fields(u),
+        u.tryUnpackNil() ? Optional.empty() : Optional.of(u.unpackLong()),
+        Bytes.of(u.readPayload(u.unpackBinaryHeader())));
+  }
+
+  static void pack(MessagePacker p, AnswerHead h) throws IOException {
+    p.packInt(h.status());
+    packFields(p, h.headers());
+    packLoad(p, h.load());
+  }
+
+  static AnswerHead answerHead(MessageUnpacker u) throws IOException {
+    return new AnswerHead(u.unpackInt(), fields(u), load(u));
+  }
+
+  static void pack(MessagePacker p, Refusal r) throws IOException {
+    p.packString(r.code()).packBoolean(r.mayHaveRun()).packLong(r.retryAfterMillis());
+    if (r.load().isPresent()) {
+      packLoad(p, r.load().get());
+    } else {
+      p.packNil();
+    }
+  }
+
+  static Refusal refusal(MessageUnpacker u) throws IOException {
+    return new Refusal(
+        u.unpackString(),
+        u.unpackBoolean(),
+        u.unpackLong(),
+        u.tryUnpackNil() ? Optional.empty() : Optional.of(load(u)));
+  }
+
+  private static void packLoad(MessagePacker p, TargetLoad l) throws IOException {
+    p.packInt(l.limit()).packInt(l.inFlight()).packInt(l.queued());
+    p.packInt(l.cutOff().rank()).packDouble(l.pressure());
+  }
+
+  private static TargetLoad load(MessageUnpacker u) throws IOException {
+    return new TargetLoad(
+        u.unpackInt(), u.unpackInt(), u.unpackInt(), new Priority(u.unpackInt()), u.unpackDouble());
+  }
+
+  private static void packFields(MessagePacker p, List<HeaderField> fields) throws IOException {
+    p.packArrayHeader(fields.size());
+    for (HeaderField f : fields) {
+      p.packString(f.name()).packString(f.value());
+    }
+  }
+
+  private static List<HeaderField> fields(MessageUnpacker u) throws IOException {
+    int n = u.unpackArrayHeader();
+    List<HeaderField> out = new ArrayList<>();
+    for (int i = 0; i < n; i++) {
+      out.add(new HeaderField(u.unpackString(), u.unpackString()));
+    }
+    return out;
+  }
+
+  private static void packOptional(MessagePacker p, Optional<String> s) throws IOException {
+    if (s.isPresent()) {
+      p.packString(s.get());
+    } else {
+      p.packNil();
+    }
+  }
+
+  private static Optional<String> optional(MessageUnpacker u) throws IOException {
+    return u.tryUnpackNil() ? Optional.empty() : Optional.of(u.unpackString());
+  }
+}
--- a/org.pomelohollow.wire/src/main/java/org/pomelohollow/wire/WireCodec.java
+++ b/org.pomelohollow.wire/src/main/java/org/pomelohollow/wire/WireCodec.java
@@ -14,6 +14,9 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 import org.pomelohollow.errors.ErrorCode;
 import org.pomelohollow.errors.PomelohollowException;
@@ -28,6 +31,10 @@
   private static final int MAX_STRING_LENGTH = 4 << 20;
   private static final int MAX_NESTING = 32;
 
+  /** Messages of calls are short; the default buffer of 8 KB is cleared for each. */
+  private static final MessagePack.PackerConfig CALL_PACKERS =
+      new MessagePack.PackerConfig().withBufferSize(1_024);
+
   private final ObjectMapper mapper;
   private final Map<Class<?>, WireType> byClass = new HashMap<>();
   private final Map<Integer, WireType> byNumber = new HashMap<>();
@@ -63,6 +70,9 @@
       throw new PomelohollowException(
           ErrorCode.INTERNAL, record.getClass().getName() + " has no wire type");
     }
+    if (isOfCall(t)) {
+      return encodeOfCall(t, record);
+    }
     try {
       byte[] body = mapper.writeValueAsBytes(record);
       byte[] out = new byte[body.length + 1];
@@ -124,6 +134,9 @@
     if (t == null) {
       throw new PomelohollowException(ErrorCode.WIRE_MALFORMED, "unknown wire type");
     }
+    if (isOfCall(t)) {
+      return decodeOfCall(t, bytes);
+    }
     try {
       Object o = mapper.readValue(Arrays.copyOfRange(bytes, 1, bytes.length), t.type());
       if (o == null) {
@@ -135,6 +148,43 @@
     }
   }
 
+  private static boolean isOfCall(WireType t) {
+    return t == WireType.CALL_HEAD || t == WireType.ANSWER_HEAD || t == WireType.REFUSAL;
+  }
+
+  private static byte[] encodeOfCall(WireType t, Object record) {
+    try (MessageBufferPacker p = CALL_PACKERS.newBufferPacker()) {
+      p.addPayload(new byte[] {(byte) t.number()});
+      if (record instanceof CallHead h) {
+        CallFormats.pack(p, h);
+      } else if (record instanceof AnswerHead h) {
+        CallFormats.pack(p, h);
+      } else if (record instanceof Refusal r) {
+        CallFormats.pack(p, r);
+      }
+      return p.toByteArray();
+    } catch (IOException e) {
+      throw new PomelohollowException(ErrorCode.INTERNAL, "cannot encode " + t, e);
+    }
+  }
+
+  private static Object decodeOfCall(WireType t, byte[] bytes) {
+    try (MessageUnpacker u = MessagePack.newDefaultUnpacker(bytes, 1, bytes.length - 1)) {
+      Object o =
+          switch (t) {
+            case CALL_HEAD -> CallFormats.callHead(u);
+            case ANSWER_HEAD -> CallFormats.answerHead(u);
+            default -> CallFormats.refusal(u);
+          };
+      if (u.hasNext()) {
+        throw new PomelohollowException(ErrorCode.WIRE_MALFORMED, "bytes behind " + t);
+      }
+      return o;
+    } catch (IOException | RuntimeException e) {
+      throw new PomelohollowException(ErrorCode.WIRE_MALFORMED, "cannot decode " + t, e);
+    }
+  }
+
   /** Writes every record as an array of its components. */
   private static final class RecordsAsArrays extends JacksonAnnotationIntrospector {
     private static final long serialVersionUID = 1L;
