--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/Daemon.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/Daemon.java
@@ -57,6 +57,7 @@
   private final Scheduler loop = Schedulers.fromExecutor(loops.onServer(true).next());
   private final WireCodec codec = new WireCodec();
   private final DaemonMetrics metrics = new DaemonMetrics();
+  private final RequestLog requests = new RequestLog(this::configVersion);
   private final RunningRequests running = new RunningRequests();
   private final Deployment deployment;
   private final TargetClient target;
@@ -231,12 +232,17 @@
     return !leaving && node.config().inForce().isPresent();
   }
 
+  private long configVersion() {
+    return node.config().version();
+  }
+
   private void targetUnreachable() {
     watch.unreachable();
   }
 
   private void requestEnded(Exchange x, Verdict v, long nowNanos) {
     metrics.requestEnded(v, nowNanos - x.arrivedNanos());
+    requests.ended(x, v, nowNanos);
   }
 
   private TargetSide targetSide() {
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/request/Exchange.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/request/Exchange.java
@@ -68,6 +68,16 @@
     return service.orElseThrow();
   }
 
+  /** Returns the name of the matched route, for logs. */
+  public Optional<String> routeName() {
+    return route.map(RouteEntry::name);
+  }
+
+  /** Returns the name of the service, for logs. */
+  public Optional<String> serviceName() {
+    return service.map(ServiceId::value);
+  }
+
   void setRoute(RouteEntry r, ServiceId s) {
     route = Optional.of(r);
     service = Optional.of(s);
