--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/Daemon.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/Daemon.java
@@ -47,6 +47,10 @@
   private static final Duration TICK = Duration.ofMillis(50);
   private static final Duration LIVENESS_CHECK = Duration.ofSeconds(1);
   private static final Duration LEAVE_GRACE = Duration.ofMillis(1_500);
+
+  /** The platform notices within 2 s of 6 s that a daemon is no longer ready. */
+  private static final int LISTENED_PERCENT_OF_GRACE = 45;
+
   private static final Duration HAND_OVER_TIMEOUT = Duration.ofSeconds(5);
   private static final Duration LAST_NEWS = Duration.ofSeconds(1);
   private static final Duration DRAIN_POLL = Duration.ofMillis(20);
@@ -166,7 +170,7 @@
   public Mono<Void> stop() {
     return Mono.<Void>fromRunnable(this::leave)
         .subscribeOn(loop)
-        .then(Mono.delay(LEAVE_GRACE, loop))
+        .then(Mono.delay(leaveGrace(), loop))
         .then(Mono.fromRunnable(callerServer::close))
         .then(when(this::isDrained).timeout(settings.limits().drainTimeout(), Mono.empty()))
         .then(when(node.claims()::canLeave).timeout(HAND_OVER_TIMEOUT, Mono.empty()))
@@ -175,6 +179,14 @@
         .then();
   }
 
+  /** Returns how long new connections are taken, so that callers can learn to go elsewhere. */
+  private Duration leaveGrace() {
+    return settings
+        .platform()
+        .map(p -> p.grace().multipliedBy(LISTENED_PERCENT_OF_GRACE).dividedBy(100))
+        .orElse(LEAVE_GRACE);
+  }
+
   /** Closes at once, running requests are cut. */
   @Override
   public void close() {
@@ -219,7 +231,7 @@
     log.start();
     documents = deployment.followDocuments(loop, this::handle);
     every(TICK, this::tick);
-    every(LIVENESS_CHECK, links::checkLiveness);
+    every(LIVENESS_CHECK, this::checkConnections);
     Logger.info(
         "daemon: {} in {} listens on {} for callers", self, settings.zone(), callerAddress());
   }
@@ -257,10 +269,19 @@
   }
 
   private void tick() {
-    watch.check(System.nanoTime());
+    long now = System.nanoTime();
+    watch.check(now);
+    target.expire(now);
     handle(new Event.Tick());
   }
 
+  private void checkConnections() {
+    links.checkLiveness();
+    long now = System.nanoTime();
+    Stream.concat(Stream.of(callerServer, targetServer), readinessServer.stream())
+        .forEach(s -> s.closeIdle(now));
+  }
+
   private void handle(Event e) {
     node.handle(e);
   }
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetClient.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetClient.java
@@ -12,9 +12,10 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.ScheduledFuture;
-import java.util.concurrent.TimeUnit;
+import java.util.Set;
 import org.pomelohollow.daemon.protocol.TargetProtocol;
 import org.pomelohollow.decision.TargetAnnouncement;
 import org.pomelohollow.errors.ErrorCode;
@@ -48,6 +49,7 @@
   private final TargetProtocol protocol;
   private final Runnable unreachable;
   private final Deque<TargetConnection> idle = new ArrayDeque<>();
+  private final Set<Run> running = new LinkedHashSet<>();
   private Optional<TargetAnnouncement> target = Optional.empty();
 
   /**
@@ -90,7 +92,7 @@
    * @param head the request
    * @param context its context at this daemon
    * @param body its body, if streamed
-   * @param listener hears the outcome, never before this method returns
+   * @param listener hears the outcome
    * @return cuts the exchange when disposed; nothing is told afterwards
    */
   public Disposable exchange(
@@ -100,13 +102,26 @@
       loop.execute(() -> x.fail(false, ErrorCode.NO_TARGET, "no target"));
       return x::abandon;
     }
-    Run run = new Run(x, target.get());
-    loop.execute(run::start);
-    long left = Math.max(1, context.remainingNanos(System.nanoTime()));
-    run.timer = loop.schedule(run::expire, left, TimeUnit.NANOSECONDS);
+    Run run = new Run(x, target.get(), context.deadlineNanos());
+    running.add(run);
+    run.start();
     return run::cancel;
   }
 
+  /**
+   * Ends the requests that are out of time. Called from time to time, since a timer for each
+   * request costs more than the request's share of a sweep.
+   *
+   * @param nowNanos current monotonic time, in nanoseconds
+   */
+  public void expire(long nowNanos) {
+    for (Run r : List.copyOf(running)) {
+      if (r.deadlineNanos - nowNanos <= 0) {
+        r.expire();
+      }
+    }
+  }
+
   private Optional<TargetConnection> takeIdle() {
     long now = System.nanoTime();
     while (!idle.isEmpty()) {
@@ -152,18 +167,16 @@
   private final class Run {
     private final TargetExchange exchange;
     private final TargetAnnouncement to;
+    private final long deadlineNanos;
     private Optional<TargetConnection> connection = Optional.empty();
-    private ScheduledFuture<?> timer;
 
-    Run(TargetExchange exchange, TargetAnnouncement to) {
+    Run(TargetExchange exchange, TargetAnnouncement to, long deadlineNanos) {
       this.exchange = exchange;
       this.to = to;
+      this.deadlineNanos = deadlineNanos;
     }
 
     void start() {
-      if (exchange.isOver()) {
-        return;
-      }
       Optional<TargetConnection> free = takeIdle();
       if (free.isPresent()) {
         send(free.get());
@@ -175,12 +188,13 @@
     }
 
     void expire() {
+      running.remove(this);
       connection.ifPresent(c -> c.abandon(exchange));
       exchange.fail(connection.isPresent(), ErrorCode.DEADLINE_EXCEEDED, "out of time");
     }
 
     void cancel() {
-      timer.cancel(false);
+      running.remove(this);
       exchange.abandon();
       connection.ifPresent(c -> c.abandon(exchange));
     }
@@ -188,7 +202,7 @@
     private void connected(TargetConnection c, ChannelFuture f) {
       if (!f.isSuccess()) {
         Logger.info("target: no connection: {}", f.cause().toString());
-        timer.cancel(false);
+        running.remove(this);
         exchange.fail(false, ErrorCode.UNREACHABLE, "no connection");
         unreachable.run();
       } else if (exchange.isOver()) {
@@ -200,7 +214,7 @@
 
     private void send(TargetConnection c) {
       connection = Optional.of(c);
-      c.send(exchange, to, System.nanoTime(), () -> timer.cancel(false));
+      c.send(exchange, to, System.nanoTime(), () -> running.remove(this));
     }
   }
 }
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/CallerConnection.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/CallerConnection.java
@@ -16,11 +16,11 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import org.pomelohollow.daemon.protocol.InboundHandler;
 import org.pomelohollow.daemon.protocol.RequestBody;
 import org.reactivestreams.Subscription;
@@ -42,13 +42,23 @@
   private final InboundHandler handler;
   private final BooleanSupplier leaving;
   private final long maxBodyBytes;
+  private final Consumer<CallerConnection> closed;
+  private final Consumer<CallerConnection> opened;
   private final Deque<PendingAnswer> pending = new ArrayDeque<>();
   private ChannelHandlerContext ctx;
   private BodyReader reader;
   private boolean sending;
   private boolean closing;
+  private long activeNanos;
 
-  CallerConnection(InboundHandler handler, BooleanSupplier leaving, long maxBodyBytes) {
+  CallerConnection(
+      InboundHandler handler,
+      BooleanSupplier leaving,
+      long maxBodyBytes,
+      Consumer<CallerConnection> closed,
+      Consumer<CallerConnection> opened) {
+    this.closed = closed;
+    this.opened = opened;
     this.handler = handler;
     this.leaving = leaving;
     this.maxBodyBytes = maxBodyBytes;
@@ -65,6 +75,7 @@
       ReferenceCountUtil.release(msg);
       return;
     }
+    activeNanos = System.nanoTime();
     if (msg instanceof HttpRequest r) {
       begin(r);
     }
@@ -75,6 +86,7 @@
 
   @Override
   public void channelInactive(ChannelHandlerContext c) {
+    closed.accept(this);
     closing = true;
     if (reader != null) {
       reader.fail();
@@ -86,8 +98,14 @@
   }
 
   @Override
-  public void userEventTriggered(ChannelHandlerContext c, Object event) {
-    if (event instanceof IdleStateEvent && pending.isEmpty()) {
+  public void channelActive(ChannelHandlerContext c) {
+    activeNanos = System.nanoTime();
+    opened.accept(this);
+  }
+
+  /** Closes the connection if nothing has come or gone on it since a time. */
+  void closeIfIdle(long sinceNanos) {
+    if (pending.isEmpty() && activeNanos - sinceNanos < 0) {
       close();
     }
   }
@@ -126,6 +144,10 @@
       start(r, RequestBody.streamed(Flux.empty(), length));
       return;
     }
+    if (HttpUtil.is100ContinueExpected(r)) {
+      ctx.writeAndFlush(
+          new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+    }
     reader = new BodyReader(r, maxBodyBytes, () -> ctx.channel().config().setAutoRead(true));
   }
 
@@ -202,6 +224,7 @@
 
   private void done(PendingAnswer p, boolean last) {
     p.sent();
+    activeNanos = System.nanoTime();
     pending.remove(p);
     if (last) {
       ctx.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> ctx.close());
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/CallerServer.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/CallerServer.java
@@ -10,10 +10,10 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
-import io.netty.handler.codec.http.HttpServerExpectContinueHandler;
-import io.netty.handler.timeout.IdleStateHandler;
 import java.net.InetSocketAddress;
-import java.util.concurrent.TimeUnit;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import org.pomelohollow.daemon.protocol.InboundHandler;
 import org.pomelohollow.daemon.settings.Settings;
@@ -30,9 +30,13 @@
   private static final int BACKLOG = 1_024;
 
   private final Channel channel;
+  private final Set<CallerConnection> open;
+  private final long idleNanos;
 
-  private CallerServer(Channel channel) {
+  private CallerServer(Channel channel, Set<CallerConnection> open, long idleNanos) {
     this.channel = channel;
+    this.open = open;
+    this.idleNanos = idleNanos;
   }
 
   /**
@@ -53,6 +57,7 @@
       BooleanSupplier leaving,
       InboundHandler handler) {
     EventLoopGroup group = loops.onServer(true);
+    Set<CallerConnection> open = new HashSet<>();
     ChannelFuture f =
         new ServerBootstrap()
             .group(group)
@@ -66,9 +71,9 @@
                   protected void initChannel(SocketChannel ch) {
                     ch.pipeline()
                         .addLast(new HttpServerCodec(decoder(limits)))
-                        .addLast(new HttpServerExpectContinueHandler())
-                        .addLast(idleHandler(limits))
-                        .addLast(new CallerConnection(handler, leaving, limits.maxBodyBytes()));
+                        .addLast(
+                            new CallerConnection(
+                                handler, leaving, limits.maxBodyBytes(), open::remove, open::add));
                   }
                 })
             .bind(address.address(), address.port())
@@ -77,7 +82,7 @@
       throw new PomelohollowException(
           ErrorCode.ADDRESS_UNAVAILABLE, "cannot listen on " + address, f.cause());
     }
-    return new CallerServer(f.channel());
+    return new CallerServer(f.channel(), open, limits.idleTimeout().toNanos());
   }
 
   /** Returns the bound address. */
@@ -92,8 +97,15 @@
     channel.close();
   }
 
-  private static IdleStateHandler idleHandler(Settings.Limits limits) {
-    return new IdleStateHandler(0, 0, limits.idleTimeout().toMillis(), TimeUnit.MILLISECONDS);
+  /**
+   * Closes connections that have been idle for too long.
+   *
+   * @param nowNanos current monotonic time, in nanoseconds
+   */
+  public void closeIdle(long nowNanos) {
+    for (CallerConnection c : List.copyOf(open)) {
+      c.closeIfIdle(nowNanos - idleNanos);
+    }
   }
 
   private static HttpDecoderConfig decoder(Settings.Limits limits) {
