--- a/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/admission/CallGraphTest.java
+++ b/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/admission/CallGraphTest.java
@@ -3,12 +3,12 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.Random;
+import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 
 class CallGraphTest {
   private final CallGraph graph = new CallGraph();
-  private final Random random = new Random(3);
+  private final SplittableRandom random = new SplittableRandom(3);
 
   @Test
   void pressureReachesTheRoutesThatCallAndSparesTheOthers() {
--- a/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/admission/DeepLoad.java
+++ b/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/admission/DeepLoad.java
@@ -6,7 +6,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.PriorityQueue;
-import java.util.Random;
+import java.util.SplittableRandom;
 
 /**
  * Plays root requests that run for a while and then make ten calls, one after the other, to a
@@ -25,7 +25,7 @@
   private static final double REPORT_SECONDS = 0.1;
   private static final double GREATEST_REFUSED = 0.96;
 
-  private final Random random = new Random(1);
+  private final SplittableRandom random = new SplittableRandom(1);
   private final Pressure pressure = new Pressure(2);
   private final boolean pressed;
   private final double rootsPerSecond;
--- a/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/rates/PooledRatesTest.java
+++ b/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/rates/PooledRatesTest.java
@@ -9,8 +9,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Random;
 import java.util.Set;
+import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 import org.pomelohollow.decision.Effect;
 import org.pomelohollow.decision.Event;
@@ -39,7 +39,7 @@
   private final Set<MemberId> down = new HashSet<>();
   private final List<Message> wire = new ArrayList<>();
   private final List<Long> granted = new ArrayList<>();
-  private final Random random = new Random(7);
+  private final SplittableRandom random = new SplittableRandom(7);
   private long now;
   private int refused;
 
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/Node.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/Node.java
@@ -112,22 +112,32 @@
             membership);
     this.controllers = all.stream().filter(c -> c != claims || setup.terms().claims()).toList();
     this.chain =
-        new FilterChain(
-            List.of(
-                new RouteFilter(config::inForce),
-                new StalenessFilter(t -> setup.terms().failsClosed() && config.isStale(t)),
-                keys,
-                new DeadlineFilter(
-                    retries.rootAllowance(),
-                    claims.settings().windowNanos() / 4,
-                    guard.running(),
-                    timers),
-                this::noteCall,
-                new QuarantineFilter(quarantine),
-                new ClaimFilter(),
-                early,
-                new QuotaFilter(quota),
-                attempts));
+        new FilterChain(filters(setup.terms(), keys, timers, quarantine, early, quota, attempts));
+  }
+
+  private List<Filter> filters(
+      NodeTerms terms,
+      KeyFilter keys,
+      Timers timers,
+      QuarantineController quarantine,
+      EarlyRefusalFilter early,
+      AccountRates quota,
+      AttemptFilter attempts) {
+    return List.of(
+        new RouteFilter(config::inForce),
+        new StalenessFilter(t -> terms.failsClosed() && config.isStale(t)),
+        keys,
+        new DeadlineFilter(
+            terms.retries().rootAllowance(),
+            claims.settings().windowNanos() / 4,
+            guard.running(),
+            timers),
+        this::noteCall,
+        new QuarantineFilter(quarantine),
+        new ClaimFilter(),
+        early,
+        new QuotaFilter(quota),
+        attempts);
   }
 
   /**
