--- /dev/null
+++ b/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/admission/ColdRateTest.java
@@ -0,0 +1,114 @@
+package org.pomelohollow.decision.admission;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.pomelohollow.decision.Event;
+import org.pomelohollow.decision.TargetAnnouncement;
+import org.pomelohollow.decision.config.VersionedDocument;
+import org.pomelohollow.document.ColdRate;
+import org.pomelohollow.document.Document;
+import org.pomelohollow.document.ServiceEntry;
+import org.pomelohollow.document.ZoneEntry;
+import org.pomelohollow.model.Endpoint;
+import org.pomelohollow.model.Priority;
+import org.pomelohollow.model.RequestContext;
+import org.pomelohollow.model.ServiceId;
+import org.pomelohollow.model.Verdict;
+import org.pomelohollow.model.ZoneId;
+
+/** Offers a burst to targets for which the operator states what they bear while cold. */
+class ColdRateTest {
+  private static final ServiceId SERVICE = new ServiceId("service");
+  private static final ZoneId ZONE = new ZoneId("zone");
+  private static final long SECOND = 1_000_000_000L;
+  private static final int BURST = 30;
+
+  private final AdmissionController admission =
+      new AdmissionController(ZONE, new AdmissionTerms(FixedLimit::new, 1, WaitPolicy.CALLS_FIRST));
+  private int admitted;
+
+  @Test
+  void aTargetThatWasColdBeforeTheDocumentWasKnownIsPaced() {
+    announce(3_000, 0);
+    configure(true, SECOND / 10);
+    offer(SECOND / 10);
+    assertTrue(admitted <= 4, admitted + " at once");
+  }
+
+  @Test
+  void aWarmTargetTakesTheBurst() {
+    announce(0, 0);
+    configure(true, SECOND / 10);
+    offer(SECOND / 10);
+    assertEquals(BURST, admitted);
+  }
+
+  @Test
+  void aTargetIsTakenForColdWhenItsZoneComesBack() {
+    announce(0, 0);
+    configure(false, SECOND);
+    configure(true, 2 * SECOND);
+    offer(2 * SECOND);
+    assertTrue(admitted <= 4, admitted + " at once");
+  }
+
+  private void announce(long coldMillis, long now) {
+    TargetAnnouncement a =
+        new TargetAnnouncement(
+            SERVICE, new Endpoint("10.0.0.1", 1), "i", 50, 1_000, 1, coldMillis > 0, coldMillis, 0);
+    admission.handle(new Event.TargetAnnounced(a), now);
+  }
+
+  private void configure(boolean inService, long now) {
+    ServiceEntry s =
+        new ServiceEntry(SERVICE, 1_000, 1_000, 1, Set.of(), Optional.of(new ColdRate(3_000, 4.4)));
+    Document d =
+        new Document(
+            "d",
+            List.of("high"),
+            Map.of(ZONE, new ZoneEntry(ZONE, "r", inService)),
+            Map.of(),
+            List.of(),
+            Map.of(SERVICE, s),
+            List.of());
+    admission.handle(new Event.ConfigInForce(new VersionedDocument(now, "c", "", d)), now);
+  }
+
+  private void offer(long now) {
+    for (int i = 0; i < BURST; i++) {
+      RequestContext c =
+          new RequestContext(
+              "r" + i,
+              "r" + i,
+              SERVICE,
+              "route",
+              Optional.empty(),
+              Priority.HIGHEST,
+              now + 10 * SECOND,
+              true,
+              Optional.empty(),
+              i,
+              0,
+              0);
+      admission.offer(c, false, new Counter(), now);
+    }
+  }
+
+  private final class Counter implements AdmissionListener {
+    @Override
+    public void admitted() {
+      admitted++;
+    }
+
+    @Override
+    public void refused(Verdict.NotRun verdict) {
+      // Waits or is refused: not admitted.
+    }
+  }
+}
