--- a/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/admission/CallGraphTest.java
+++ b/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/admission/CallGraphTest.java
@@ -5,8 +5,12 @@
 
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
+import org.pomelohollow.model.Priority;
+import org.pomelohollow.model.TargetLoad;
 
 class CallGraphTest {
+  private static final TargetLoad LOADED = new TargetLoad(1, 1, 0, Priority.NONE_SHED, 0.7);
+
   private final CallGraph graph = new CallGraph();
   private final SplittableRandom random = new SplittableRandom(3);
 
@@ -28,7 +32,7 @@
       }
       graph.ended("plain");
     }
-    graph.heard("below", 0.7, 0);
+    graph.heard("below", LOADED, 0);
     assertEquals(0.7, graph.pressure("caller", 1), 1e-9);
     assertTrue(graph.pressure("plain", 1) <= 0.7);
   }
@@ -46,7 +50,7 @@
       graph.started("plain");
       graph.ended("plain");
     }
-    graph.heard("below", 0.7, 0);
+    graph.heard("below", LOADED, 0);
     assertEquals(0, graph.pressure("plain", 1), 1e-9);
     assertEquals(0.7, graph.pressure("caller", 1), 1e-9);
   }
@@ -55,7 +59,7 @@
   void oldReportsCountForNothing() {
     graph.started("caller");
     graph.called("below");
-    graph.heard("below", 0.7, 0);
+    graph.heard("below", LOADED, 0);
     assertEquals(0, graph.pressure("caller", 3_000_000_000L), 1e-9);
   }
 }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionController.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionController.java
@@ -197,7 +197,7 @@
    * @param nowNanos current monotonic time, in nanoseconds
    */
   public void heard(String calledRoute, TargetLoad load, long nowNanos) {
-    graph.heard(calledRoute, load.pressure(), nowNanos);
+    graph.heard(calledRoute, load, nowNanos);
   }
 
   private int waiting() {
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/CallGraph.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/CallGraph.java
@@ -2,7 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
+import org.pomelohollow.model.TargetLoad;
 
 /**
  * Learns which routes lead to which calls, and so which requests press on a full service below.
@@ -20,11 +20,9 @@
   private static final double MEMORY = 60;
 
   private static final double FIRST_CALLS = 0.5;
-  private static final long HEARD_NANOS = TimeUnit.SECONDS.toNanos(2);
-  private static final double HEARD_GAIN = 0.2;
 
   private final Map<String, Route> routes = new HashMap<>();
-  private final Map<String, Heard> heard = new HashMap<>();
+  private final Pressures heard = new Pressures();
 
   void started(String route) {
     routes.computeIfAbsent(route, k -> new Route()).running++;
@@ -54,8 +52,8 @@
     }
   }
 
-  void heard(String calledRoute, double pressure, long nowNanos) {
-    heard.computeIfAbsent(calledRoute, k -> new Heard()).add(pressure, nowNanos);
+  void heard(String calledRoute, TargetLoad load, long nowNanos) {
+    heard.heard(calledRoute, load, nowNanos);
   }
 
   /** Returns the greatest pressure that the calls of a route's requests meet. */
@@ -66,9 +64,8 @@
     }
     double most = 0;
     for (Map.Entry<String, Double> e : r.calls.entrySet()) {
-      Heard h = heard.get(e.getKey());
-      if (e.getValue() >= LEAST_CALLS && h != null && nowNanos - h.atNanos < HEARD_NANOS) {
-        most = Math.max(most, h.pressure);
+      if (e.getValue() >= LEAST_CALLS) {
+        most = Math.max(most, heard.of(e.getKey(), nowNanos));
       }
     }
     return most;
@@ -92,20 +89,4 @@
       return running + " running, calls " + calls;
     }
   }
-
-  private static final class Heard {
-    private double pressure;
-    private long atNanos = Long.MIN_VALUE;
-
-    void add(double value, long nowNanos) {
-      boolean first = atNanos == Long.MIN_VALUE || nowNanos - atNanos > HEARD_NANOS;
-      pressure = first ? value : pressure + HEARD_GAIN * (value - pressure);
-      atNanos = nowNanos;
-    }
-
-    @Override
-    public String toString() {
-      return "pressure " + pressure;
-    }
-  }
 }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/request/Pressures.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/Pressures.java
@@ -1,4 +1,4 @@
-package org.pomelohollow.decision.request;
+package org.pomelohollow.decision.admission;
 
 import java.util.HashMap;
 import java.util.Map;
@@ -25,6 +25,11 @@
     means.computeIfAbsent(route, k -> new Mean()).add(load.pressure(), nowNanos);
   }
 
+  @Override
+  public String toString() {
+    return means.toString();
+  }
+
   /**
    * Returns the pressure that a route's requests meet, 0 if nothing was told of late.
    *
@@ -46,5 +51,10 @@
       value = first ? pressure : value + GAIN * (pressure - value);
       atNanos = nowNanos;
     }
+
+    @Override
+    public String toString() {
+      return Double.toString(value);
+    }
   }
 }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/request/EarlyRefusalFilter.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/request/EarlyRefusalFilter.java
@@ -7,6 +7,7 @@
 import org.pomelohollow.decision.Controller;
 import org.pomelohollow.decision.Event;
 import org.pomelohollow.decision.StateDump;
+import org.pomelohollow.decision.admission.Pressures;
 import org.pomelohollow.decision.routing.Router;
 import org.pomelohollow.document.AccountEntry;
 import org.pomelohollow.document.Document;
