--- a/org.pomelohollow.pgm/src/main/java/org/pomelohollow/pgm/DaemonCommand.java
+++ b/org.pomelohollow.pgm/src/main/java/org/pomelohollow/pgm/DaemonCommand.java
@@ -36,7 +36,11 @@
       s.problems().forEach(p -> console.err().println(p));
       return ExitCode.FAILED;
     }
-    Logging.setLevel(s.value().get().logLevel());
+    if (s.value().get().platform().isPresent()) {
+      Logging.toStandardOutput(s.value().get().logLevel());
+    } else {
+      Logging.setLevel(s.value().get().logLevel());
+    }
     Daemon d = start(s.value().get());
     console.out().println("callers " + d.callerAddress());
     console.out().println("peers " + d.peerAddress());
