Press on entries only where the deployment asks for it

Cause: on the product's own deployment a target in cold start has a limit of few slots, so its pressure rose at every start and entries refused 23 of 300 reads of the demo (19 of 21 lines).

--- a/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/admission/ColdRateTest.java
+++ b/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/admission/ColdRateTest.java
@@ -30,7 +30,8 @@
   private static final int BURST = 30;
 
   private final AdmissionController admission =
-      new AdmissionController(ZONE, new AdmissionTerms(FixedLimit::new, 1, WaitPolicy.CALLS_FIRST));
+      new AdmissionController(
+          ZONE, new AdmissionTerms(FixedLimit::new, 1, WaitPolicy.CALLS_FIRST, true));
   private int admitted;
 
   @Test
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionController.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionController.java
@@ -57,7 +57,7 @@
    * @param algorithm adapts the limit of a target that isn't cold
    */
   public AdmissionController(ZoneId zone, LimitAlgorithm algorithm) {
-    this(zone, new AdmissionTerms(() -> algorithm, 1, WaitPolicy.STANDING_QUEUE));
+    this(zone, new AdmissionTerms(() -> algorithm, 1, WaitPolicy.STANDING_QUEUE, false));
   }
 
   /**
@@ -171,13 +171,17 @@
         inFlight(),
         waiting(),
         cutOff.get(),
-        Math.max(pressure.value(), graph.pressure(route, now)));
+        terms.presses() ? Math.max(pressure.value(), graph.pressure(route, now)) : 0);
   }
 
   /** Returns the load of the target itself. */
   public TargetLoad load() {
     return new TargetLoad(
-        target.toldLimit(now), inFlight(), waiting(), cutOff.get(), pressure.value());
+        target.toldLimit(now),
+        inFlight(),
+        waiting(),
+        cutOff.get(),
+        terms.presses() ? pressure.value() : 0);
   }
 
   /**
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionTerms.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionTerms.java
@@ -9,11 +9,14 @@
  * @param limit creates the algorithm that adapts the limit
  * @param slotShare share of the announced slots that is used at most, above 0 and at most 1
  * @param waits how long requests may wait
+ * @param presses whether entries are told to refuse work that the target, or what it calls, can't
+ *     run; a deployment whose cold targets are bounded by few slots would refuse too much
  */
-public record AdmissionTerms(Supplier<LimitAlgorithm> limit, double slotShare, WaitPolicy waits) {
+public record AdmissionTerms(
+    Supplier<LimitAlgorithm> limit, double slotShare, WaitPolicy waits, boolean presses) {
   /** Terms of a daemon that is told nothing else. */
   public static final AdmissionTerms STANDARD =
-      new AdmissionTerms(ThroughputLimit::new, 1, WaitPolicy.STANDING_QUEUE);
+      new AdmissionTerms(ThroughputLimit::new, 1, WaitPolicy.STANDING_QUEUE, false);
 
   /** Checks the fields. */
   public AdmissionTerms {
