--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetClient.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetClient.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.pomelohollow.daemon.internal.io.Sockets;
 import org.pomelohollow.daemon.protocol.TargetProtocol;
 import org.pomelohollow.decision.TargetAnnouncement;
 import org.pomelohollow.errors.ErrorCode;
@@ -151,7 +152,7 @@
     return new Bootstrap()
         .group(loop)
         .channel(channelClass)
-        .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.RECVBUF_ALLOCATOR, Sockets.reads())
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) CONNECT_TIMEOUT.toMillis())
         .handler(
             new ChannelInitializer<SocketChannel>() {
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/CallerServer.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/CallerServer.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
+import org.pomelohollow.daemon.internal.io.Sockets;
 import org.pomelohollow.daemon.protocol.InboundHandler;
 import org.pomelohollow.daemon.settings.Settings;
 import org.pomelohollow.errors.ErrorCode;
@@ -64,7 +65,7 @@
             .channel(loops.onChannelClass(ServerSocketChannel.class, group))
             .option(ChannelOption.SO_REUSEADDR, true)
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
-            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.RECVBUF_ALLOCATOR, Sockets.reads())
             .childHandler(
                 new ChannelInitializer<SocketChannel>() {
                   @Override
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/link/Links.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/link/Links.java
@@ -25,6 +25,7 @@
 import java.util.function.Function;
 import org.pomelohollow.daemon.internal.call.AnswerSink;
 import org.pomelohollow.daemon.internal.call.CallHandler;
+import org.pomelohollow.daemon.internal.io.Sockets;
 import org.pomelohollow.daemon.settings.PeerSecret;
 import org.pomelohollow.errors.ErrorCode;
 import org.pomelohollow.errors.PomelohollowException;
@@ -98,7 +99,7 @@
             .group(group)
             .channel(serverChannel)
             .option(ChannelOption.SO_REUSEADDR, true)
-            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.RECVBUF_ALLOCATOR, Sockets.reads())
             .childHandler(initializer(false, Optional.empty()))
             .bind(address.address(), address.port())
             .awaitUninterruptibly();
@@ -248,7 +249,7 @@
         new Bootstrap()
             .group(group)
             .channel(clientChannel)
-            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.RECVBUF_ALLOCATOR, Sockets.reads())
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
             .handler(initializer(true, Optional.of(started)))
             .connect(to.address(), to.port());
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/routing/Router.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/routing/Router.java
@@ -5,7 +5,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.pomelohollow.decision.Controller;
 import org.pomelohollow.decision.Event;
@@ -32,7 +31,7 @@
 
   private final RandomGenerator random;
   private final Map<MemberId, Peer> peers = new HashMap<>();
-  private final Map<ServiceId, List<Member>> candidates = new HashMap<>();
+  private final Map<ServiceId, Candidates> candidates = new HashMap<>();
   private final ZoneReturns returns = new ZoneReturns();
   private Optional<Roster> roster = Optional.empty();
   private Optional<Document> document = Optional.empty();
@@ -55,9 +54,10 @@
    * @return a member not tried before, if there is one
    */
   public Optional<MemberId> choose(ServiceId service, Set<MemberId> tried, long nowNanos) {
-    List<Member> all = filter(candidates(service), m -> !tried.contains(m.id()));
-    List<Member> healthy = filter(all, m -> !peer(m).isEjected(nowNanos));
-    return best(healthy.isEmpty() ? all : healthy, nowNanos).map(Member::id);
+    Candidates all = candidates(service);
+    Candidates untried = tried.isEmpty() ? all : all.filter(m -> !tried.contains(m.id()));
+    Candidates healthy = untried.filter(m -> !peer(m).isEjected(nowNanos));
+    return best(healthy.isEmpty() ? untried : healthy, nowNanos).map(Member::id);
   }
 
   /**
@@ -132,14 +132,18 @@
     return b.build();
   }
 
-  private List<Member> candidates(ServiceId service) {
+  private Candidates candidates(ServiceId service) {
     return candidates.computeIfAbsent(
         service,
-        s ->
-            roster
-                .map(r -> filter(r.servingMembers(s), this::isInService))
-                .map(l -> ownZone().map(z -> Subset.of(self(), z, l)).orElse(l))
-                .orElse(List.of()));
+        s -> {
+          Optional<ZoneId> own = ownZone();
+          List<Member> inService =
+              roster
+                  .map(r -> r.servingMembers(s).stream().filter(this::isInService).toList())
+                  .orElse(List.of());
+          return Candidates.of(
+              own.map(z -> Subset.of(self(), z, inService)).orElse(inService), own);
+        });
   }
 
   private MemberId self() {
@@ -154,14 +158,12 @@
     return document.filter(d -> d.isInService(m.zone())).isPresent();
   }
 
-  private Optional<Member> best(List<Member> l, long nowNanos) {
-    Optional<ZoneId> own = ownZone();
-    List<Member> near = filter(l, m -> own.filter(m.zone()::equals).isPresent());
-    Optional<Member> a = betterOfTwo(near, nowNanos);
+  private Optional<Member> best(Candidates c, long nowNanos) {
+    Optional<Member> a = betterOfTwo(c.near(), nowNanos);
     if (a.filter(m -> utilization(m, nowNanos) <= BUSY_UTILIZATION).isPresent()) {
       return a;
     }
-    Optional<Member> b = betterOfTwo(filter(l, m -> !near.contains(m)), nowNanos);
+    Optional<Member> b = betterOfTwo(c.far(), nowNanos);
     if (a.isEmpty() || b.isEmpty()) {
       return a.or(() -> b);
     }
@@ -203,12 +205,8 @@
   private boolean mayEject(MemberId id, long nowNanos) {
     Optional<ServiceId> service =
         roster.flatMap(r -> r.find(id)).flatMap(Member::target).map(t -> t.service());
-    List<Member> all = service.map(this::candidates).orElse(List.of());
+    List<Member> all = service.map(s -> candidates(s).stream().toList()).orElse(List.of());
     long ejected = all.stream().filter(m -> peer(m).isEjected(nowNanos)).count();
     return (ejected + 1) * 2 <= all.size();
   }
-
-  private static List<Member> filter(List<Member> l, Predicate<Member> p) {
-    return l.stream().filter(p).toList();
-  }
 }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/model/MemberId.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/model/MemberId.java
@@ -9,6 +9,7 @@
  * @param incarnation start time of the process, in milliseconds since the epoch
  */
 public record MemberId(String host, long incarnation) implements Comparable<MemberId> {
+  private static final int HASH_FACTOR = 31;
   private static final Comparator<MemberId> ORDER =
       Comparator.comparing(MemberId::host).thenComparingLong(MemberId::incarnation);
 
@@ -32,6 +33,19 @@
     return ORDER.compare(this, o);
   }
 
+  // Written out, since the compiler's own form is slow under the first-tier compiler.
+  @Override
+  public boolean equals(Object o) {
+    return o instanceof MemberId other
+        && incarnation == other.incarnation
+        && host.equals(other.host);
+  }
+
+  @Override
+  public int hashCode() {
+    return HASH_FACTOR * host.hashCode() + Long.hashCode(incarnation);
+  }
+
   @Override
   public String toString() {
     return host + "#" + incarnation;
