Let the first of crossed claims go on asking, so that one of them runs

Cause: three sends of one reservation at once each gained one of three witnesses; each saw another claim and gave up, so none ran. Now the claim that is first in the order of identities, and that some witness granted, asks again for the rest of its second; the others give up and release what they hold. ClaimControllerTest.oneOfCrossedResendsRuns: before, the third of 200 keys had no run; after, each has one.

--- a/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/claim/ClaimControllerTest.java
+++ b/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/claim/ClaimControllerTest.java
@@ -13,6 +13,8 @@
 import org.pomelohollow.model.ServiceId;
 
 class ClaimControllerTest {
+  private static final int CROSSED_KEYS = 200;
+
   private final ClaimWorld w = new ClaimWorld(new SplittableRandom(1), 9);
 
   private ClaimAnswer send(ClaimWorld.Daemon d, String key, long runMs) {
@@ -65,6 +67,20 @@
     assertTrue(w.runs.getOrDefault("k", List.of()).size() <= 1);
   }
 
+  @Example
+  void oneOfCrossedResendsRuns() {
+    w.run(3_000);
+    for (int i = 0; i < CROSSED_KEYS; i++) {
+      String key = "crossed" + i;
+      for (int h = 0; h < 3; h++) {
+        w.send(daemon((i + h * 3) % 9), key, ClaimState.RAN, 100);
+      }
+      w.run(2_000);
+      assertEquals(1, w.runs.getOrDefault(key, List.of()).size(), key);
+    }
+    assertEquals(CROSSED_KEYS * 3, w.answers.size());
+  }
+
   @Example
   void aResendAfterTheExecutorDiedIsToldThatItMayHaveRun() {
     w.run(3_000);
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/claim/ClaimController.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/claim/ClaimController.java
@@ -180,7 +180,7 @@
     }
     p.took(from, r);
     if (p.taken().isPresent() && !p.isTakenByItself()) {
-      if (p.isTakenForGood() || p.allReplied()) {
+      if (p.isTakenForGood() || (p.allReplied() && !p.isCrossedAndFirst())) {
         taken(p, nowNanos);
       }
     } else if (p.hasMajority()) {
@@ -228,7 +228,8 @@
       return;
     }
     boolean waited = nowNanos - p.sentNanos() >= REPEAT_NANOS;
-    if (waited && p.taken().isPresent() && !p.isTakenByItself()) {
+    boolean taken = p.taken().isPresent() && !p.isTakenByItself() && !p.isCrossedAndFirst();
+    if (waited && taken) {
       taken(p, nowNanos);
     } else if (nowNanos - p.startedNanos() > settings.timeoutNanos()) {
       expire(p, nowNanos);
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/claim/ClaimId.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/claim/ClaimId.java
@@ -1,5 +1,6 @@
 package org.pomelohollow.decision.claim;
 
+import java.util.Comparator;
 import java.util.Objects;
 import org.pomelohollow.model.MemberId;
 
@@ -9,9 +10,17 @@
  * @param executor member whose target is to run the request
  * @param sequence number of the claim in that run of the member
  */
-public record ClaimId(MemberId executor, long sequence) {
+public record ClaimId(MemberId executor, long sequence) implements Comparable<ClaimId> {
+  private static final Comparator<ClaimId> ORDER =
+      Comparator.comparing(ClaimId::executor).thenComparingLong(ClaimId::sequence);
+
   /** Checks the field. */
   public ClaimId {
     Objects.requireNonNull(executor, "executor");
   }
+
+  @Override
+  public int compareTo(ClaimId o) {
+    return ORDER.compare(this, o);
+  }
 }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/claim/PendingClaim.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/claim/PendingClaim.java
@@ -21,6 +21,7 @@
   private final Map<MemberId, ClaimReply.Decision> refusals = new HashMap<>();
   private Seats seats = Seats.NONE;
   private Optional<ClaimRecord> taken = Optional.empty();
+  private boolean yields;
   private long sentNanos;
 
   PendingClaim(
@@ -77,14 +78,18 @@
   void restart(Seats s) {
     seats = s;
     granted.clear();
-    refusals.clear();
-    taken = Optional.empty();
+    forgetRefusals();
   }
 
   /** Forgets refusals, which may have changed meanwhile; grants last. */
   void retry() {
+    forgetRefusals();
+  }
+
+  private void forgetRefusals() {
     refusals.clear();
     taken = Optional.empty();
+    yields = false;
   }
 
   ClaimRequest request() {
@@ -111,6 +116,7 @@
     }
     refusals.put(from, r.decision());
     Optional<ClaimRecord> other = r.existing();
+    yields |= other.filter(c -> !isAhead(c)).isPresent();
     if (taken.isEmpty()) {
       taken = other;
     } else if (other.isPresent()
@@ -146,6 +152,18 @@
         .isPresent();
   }
 
+  /**
+   * Tells whether this claim and others may hold each other up with no majority for any. Of such
+   * claims the first in order goes on asking, and the others give up.
+   */
+  boolean isCrossedAndFirst() {
+    return !granted.isEmpty() && taken.isPresent() && !yields;
+  }
+
+  private boolean isAhead(ClaimRecord other) {
+    return other.state() == ClaimState.RUNNING && id.compareTo(other.id()) < 0;
+  }
+
   /** Tells whether the other claim's outcome is known as well as it ever will be. */
   boolean isTakenForGood() {
     return taken.filter(c -> c.answer().isPresent()).isPresent();
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/request/KeyFilter.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/request/KeyFilter.java
@@ -16,14 +16,20 @@
  * get the same answer. An outbound call of a target has the account of the request it belongs to.
  */
 public final class KeyFilter implements Filter, Controller {
+  /** Keys whose account, or lack of one, is kept; callers repeat a few keys. */
+  private static final int MAX_KEPT_KEYS = 4_096;
+
   private Map<String, AccountId> accounts = Map.of();
-  private final Map<String, AccountId> byKey = new HashMap<>();
+  private final Map<String, Optional<AccountId>> byKey = new HashMap<>();
   private Map<AccountId, Integer> rankOffsets = Map.of();
 
   @Override
   public void apply(Exchange x, long nowNanos, Chain next) {
     Optional<AccountId> a =
-        x.head().parent().map(p -> p.account()).orElseGet(() -> x.head().key().map(this::account));
+        x.head()
+            .parent()
+            .map(p -> p.account())
+            .orElseGet(() -> x.head().key().flatMap(this::account));
     if (a.isEmpty() && !x.route().open()) {
       x.refuse(ErrorCode.KEY_REJECTED);
       return;
@@ -35,16 +41,17 @@
     next.proceed(x, nowNanos);
   }
 
-  /** Finds the account of a key. Digests of keys in force are kept, as they are slow to compute. */
-  private AccountId account(String key) {
-    AccountId known = byKey.get(key);
+  /** Finds the account of a key. What a key led to is kept, as digests are slow to compute. */
+  private Optional<AccountId> account(String key) {
+    Optional<AccountId> known = byKey.get(key);
     if (known != null) {
       return known;
     }
-    AccountId a = accounts.get(KeyDigest.of(key));
-    if (a != null) {
-      byKey.put(key, a);
+    Optional<AccountId> a = Optional.ofNullable(accounts.get(KeyDigest.of(key)));
+    if (byKey.size() >= MAX_KEPT_KEYS) {
+      byKey.clear();
     }
+    byKey.put(key, a);
     return a;
   }
 
