Take no further request in the second half of a stop, and end within the grace

Cause: a stopping daemon closed its listener but went on reading from kept connections, so callers that sent without pause kept it busy until its drain timeout; with the last news to peers the stop took 6.3 s of a grace of 6 s. CallerServerTest.

--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/Daemon.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/Daemon.java
@@ -51,6 +51,9 @@
   /** The platform notices within 2 s of 6 s that a daemon is no longer ready. */
   private static final int LISTENED_PERCENT_OF_GRACE = 45;
 
+  /** With the time of listening and the time to drain, this stays within the grace. */
+  private static final int LAST_NEWS_PERCENT_OF_GRACE = 5;
+
   private static final Duration HAND_OVER_TIMEOUT = Duration.ofSeconds(5);
   private static final Duration LAST_NEWS = Duration.ofSeconds(1);
   private static final Duration DRAIN_POLL = Duration.ofMillis(20);
@@ -171,20 +174,26 @@
     return Mono.<Void>fromRunnable(this::leave)
         .subscribeOn(loop)
         .then(Mono.delay(leaveGrace(), loop))
-        .then(Mono.fromRunnable(callerServer::close))
+        .then(Mono.fromRunnable(callerServer::finish))
         .then(when(this::isDrained).timeout(settings.limits().drainTimeout(), Mono.empty()))
         .then(when(node.claims()::canLeave).timeout(HAND_OVER_TIMEOUT, Mono.empty()))
-        .then(Mono.delay(LAST_NEWS, loop))
+        .then(Mono.delay(lastNews(), loop))
         .then(Mono.fromRunnable(this::close).subscribeOn(Schedulers.boundedElastic()))
         .then();
   }
 
   /** Returns how long new connections are taken, so that callers can learn to go elsewhere. */
   private Duration leaveGrace() {
-    return settings
-        .platform()
-        .map(p -> p.grace().multipliedBy(LISTENED_PERCENT_OF_GRACE).dividedBy(100))
-        .orElse(LEAVE_GRACE);
+    return partOfGrace(LISTENED_PERCENT_OF_GRACE).orElse(LEAVE_GRACE);
+  }
+
+  /** Returns how long the last messages to peers get. */
+  private Duration lastNews() {
+    return partOfGrace(LAST_NEWS_PERCENT_OF_GRACE).orElse(LAST_NEWS);
+  }
+
+  private Optional<Duration> partOfGrace(int percent) {
+    return settings.platform().map(p -> p.grace().multipliedBy(percent).dividedBy(100));
   }
 
   /** Closes at once, running requests are cut. */
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/CallerConnection.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/CallerConnection.java
@@ -110,6 +110,15 @@
     }
   }
 
+  /** Takes no further request, and closes the connection behind the last answer that is due. */
+  void finish() {
+    if (pending.isEmpty() && reader == null) {
+      close();
+    } else {
+      closing = reader == null;
+    }
+  }
+
   @Override
   public void exceptionCaught(ChannelHandlerContext c, Throwable t) {
     Logger.debug("callers: connection closed: {}", t.toString());
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/CallerServer.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/CallerServer.java
@@ -98,6 +98,15 @@
     channel.close();
   }
 
+  /**
+   * Stops to listen and takes no further request from open connections: idle ones are closed, the
+   * others behind the last answer that is due.
+   */
+  public void finish() {
+    close();
+    List.copyOf(open).forEach(CallerConnection::finish);
+  }
+
   /**
    * Closes connections that have been idle for too long.
    *
--- /dev/null
+++ b/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/internal/http/CallerServerTest.java
@@ -0,0 +1,86 @@
+package org.pomelohollow.daemon.internal.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.pomelohollow.daemon.protocol.Inbound;
+import org.pomelohollow.daemon.protocol.Replies;
+import org.pomelohollow.daemon.settings.Settings;
+import org.pomelohollow.model.Endpoint;
+import reactor.netty.resources.LoopResources;
+
+class CallerServerTest {
+  private static final String LOOPBACK = "127.0.0.1";
+  private static final int TIMEOUT_MILLIS = 5_000;
+  private static final String REQUEST = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
+
+  private final LoopResources loops = LoopResources.create("caller-server-test", 1, true);
+  private final BlockingQueue<Inbound> taken = new LinkedBlockingQueue<>();
+  private final CallerServer server =
+      CallerServer.start(
+          new Endpoint(LOOPBACK, 0), loops, Settings.Limits.DEFAULT, () -> false, taken::add);
+
+  @AfterEach
+  void close() {
+    server.close();
+    loops.disposeLater(Duration.ZERO, Duration.ofSeconds(1)).block();
+  }
+
+  @Test
+  void anIdleConnectionIsClosedWhenTheServerFinishes() throws Exception {
+    try (Socket s = connect()) {
+      send(s, REQUEST);
+      Inbound first = next();
+      onLoop(() -> first.answer(Replies.empty(HttpResponseStatus.OK)));
+      s.getInputStream().readNBytes("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n".length());
+      onLoop(server::finish);
+      assertEquals(-1, s.getInputStream().read());
+    }
+  }
+
+  @Test
+  void aFinishingServerAnswersWhatItTookAndTakesNoMore() throws Exception {
+    try (Socket s = connect()) {
+      send(s, REQUEST + REQUEST);
+      Inbound first = next();
+      Inbound second = next();
+      onLoop(server::finish);
+      send(s, REQUEST);
+      onLoop(() -> first.answer(Replies.text(HttpResponseStatus.OK, "first")));
+      onLoop(() -> second.answer(Replies.text(HttpResponseStatus.OK, "second")));
+      String all = new String(s.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+      assertTrue(all.indexOf("first") < all.indexOf("second") && all.endsWith("second"), all);
+      assertTrue(all.contains("connection: close"), all);
+      assertTrue(taken.isEmpty());
+    }
+  }
+
+  private Socket connect() throws IOException {
+    Socket s = new Socket(InetAddress.getLoopbackAddress(), server.address().port());
+    s.setSoTimeout(TIMEOUT_MILLIS);
+    return s;
+  }
+
+  private static void send(Socket s, String text) throws IOException {
+    s.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+  }
+
+  private Inbound next() throws InterruptedException {
+    return taken.poll(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  private void onLoop(Runnable r) throws Exception {
+    loops.onServer(true).next().submit(r).get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+  }
+}
--- /dev/null
+++ b/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/internal/http/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the connections of callers. */
+package org.pomelohollow.daemon.internal.http;
