Go on at SIGHUP

Now the daemon reads its settings again, logs what it finds and goes on. PathBinaryTest sends the signal between two requests.

--- a/org.pomelohollow.pgm/src/main/java/org/pomelohollow/pgm/DaemonCommand.java
+++ b/org.pomelohollow.pgm/src/main/java/org/pomelohollow/pgm/DaemonCommand.java
@@ -8,6 +8,7 @@
 import org.pomelohollow.daemon.settings.SettingsReader;
 import org.pomelohollow.document.Parsed;
 import org.pomelohollow.platform.PlatformDeployment;
+import org.tinylog.Logger;
 
 /** Runs a daemon until it is told to stop. */
 final class DaemonCommand implements Command {
@@ -41,6 +42,7 @@
     } else {
       Logging.setLevel(s.value().get().logLevel());
     }
+    Signals.handle("HUP", () -> checkAgain(file, s.value().get()));
     Daemon d = start(s.value().get());
     console.out().println("callers " + d.callerAddress());
     console.out().println("peers " + d.peerAddress());
@@ -51,6 +53,18 @@
     return ExitCode.DONE;
   }
 
+  /** Reads the settings again and tells what is found; a running daemon keeps those it has. */
+  private static void checkAgain(Path file, Settings inUse) {
+    Parsed<Settings> now = new SettingsReader(System::getenv).read(file);
+    now.problems().forEach(p -> Logger.warn("settings: {}", p));
+    now.value()
+        .ifPresent(
+            v ->
+                Logger.info(
+                    "settings: read again on SIGHUP, {}",
+                    v.equals(inUse) ? "unchanged" : "changed; in force from the next start on"));
+  }
+
   private static Daemon start(Settings s) {
     return s.platform().isPresent() ? Daemon.start(s, new PlatformDeployment(s)) : Daemon.start(s);
   }
--- a/org.pomelohollow.pgm/src/main/java/org/pomelohollow/pgm/StopSignal.java
+++ b/org.pomelohollow.pgm/src/main/java/org/pomelohollow/pgm/StopSignal.java
@@ -1,6 +1,5 @@
 package org.pomelohollow.pgm;
 
-import java.lang.reflect.Proxy;
 import java.util.concurrent.CountDownLatch;
 
 /** Waits for SIGTERM or SIGINT. */
@@ -16,8 +15,8 @@
    */
   static void await(Runnable stop) {
     CountDownLatch first = new CountDownLatch(1);
-    handle("TERM", () -> receive(first));
-    handle("INT", () -> receive(first));
+    Signals.handle("TERM", () -> receive(first));
+    Signals.handle("INT", () -> receive(first));
     try {
       first.await();
     } catch (InterruptedException e) {
@@ -32,27 +31,4 @@
     }
     first.countDown();
   }
-
-  /**
-   * Installs a handler by reflection, since the compiler warns of every direct use of the class.
-   */
-  private static void handle(String name, Runnable action) {
-    try {
-      Class<?> signal = Class.forName("sun.misc.Signal");
-      Class<?> handler = Class.forName("sun.misc.SignalHandler");
-      Object proxy =
-          Proxy.newProxyInstance(
-              handler.getClassLoader(),
-              new Class<?>[] {handler},
-              (p, m, args) -> {
-                action.run();
-                return null;
-              });
-      signal
-          .getMethod("handle", signal, handler)
-          .invoke(null, signal.getConstructor(String.class).newInstance(name), proxy);
-    } catch (ReflectiveOperationException e) {
-      Runtime.getRuntime().addShutdownHook(new Thread(action));
-    }
-  }
 }
--- a/org.pomelohollow.pgm/src/test/java/org/pomelohollow/pgm/PathBinaryTest.java
+++ b/org.pomelohollow.pgm/src/test/java/org/pomelohollow/pgm/PathBinaryTest.java
@@ -43,6 +43,9 @@
           publish(logAddress);
           target.address("target");
           awaitStatus(200, callers);
+          a.hangUp();
+          b.hangUp();
+          awaitStatus(200, callers);
           assertEquals(0, b.terminate());
           assertEquals(0, a.terminate());
         }
--- a/org.pomelohollow.pgm/src/test/java/org/pomelohollow/pgm/RunningBinary.java
+++ b/org.pomelohollow.pgm/src/test/java/org/pomelohollow/pgm/RunningBinary.java
@@ -57,6 +57,14 @@
     return line.substring(name.length() + 1);
   }
 
+  /** Sends SIGHUP. */
+  void hangUp() throws IOException, InterruptedException {
+    String pid = Long.toString(process.pid());
+    if (new ProcessBuilder("kill", "-HUP", pid).start().waitFor() != 0) {
+      throw new AssertionError("no signal sent");
+    }
+  }
+
   /** Sends SIGTERM and returns the exit status. */
   int terminate() throws InterruptedException {
     process.destroy();
