Measure the processor time and memory of daemons from the start of their processes

'bench start' runs two daemons as processes against the stand-ins of the platform and prints the processor time of a start, of an idle second and of a request in the first seconds and later, and the peak memory.

--- a/org.pomelohollow.pgm/src/main/java/org/pomelohollow/pgm/Main.java
+++ b/org.pomelohollow.pgm/src/main/java/org/pomelohollow/pgm/Main.java
@@ -18,6 +18,7 @@
       List.of(
           new CheckCommand(),
           new BenchOverheadCommand(),
+          new BenchStartCommand(),
           new BenchSurgeCommand(),
           new DaemonCommand(),
           new DemoCommand(),
