Bound what a target sends without end, and don't reuse a connection with an unsent body

Cause: (1) a connection was reused after a response that preceded the end of its streamed request; the target would have read the next request as the rest of that body. (2) A streamed response was read as fast as the target sent it, whether or not the caller read, so a body without end filled the memory. (3) A response to another request was skipped without a bound.

Change: such a connection is closed after the response; reading pauses above 256 KB that the caller has not read; more than 1 MB of skipped responses close the connection, and the request may have run.

TargetConnectionTest failed in three of seven tests on the code before (reused connection; 20 MB held; open after 20 MB of another response) and passes. The tests for endless heads, chunk sizes, trailers, cut bodies and a late second copy of a response passed before as well.

--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetConnection.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetConnection.java
@@ -27,6 +27,9 @@
  * matched with requests.
  */
 final class TargetConnection extends SimpleChannelInboundHandler<HttpObject> {
+  /** Bytes of responses to other requests, above which the connection is closed. */
+  private static final long MAX_SKIPPED_BYTES = 1 << 20;
+
   private final TargetResponseDecoder decoder;
   private final Consumer<TargetConnection> onReusable;
   private final Runnable onMisdirected;
@@ -36,6 +39,8 @@
   private Disposable bodySubscription = () -> {};
   private Runnable onEnd = () -> {};
   private boolean receiving;
+  private boolean requestSent = true;
+  private long skippedBytes;
   private boolean keepAlive;
   private boolean unusable;
   private long idleSinceNanos;
@@ -94,6 +99,8 @@
     exchange = Optional.of(newExchange);
     onEnd = endCallback;
     receiving = false;
+    skippedBytes = 0;
+    requestSent = newExchange.streamedBody().isEmpty();
     HttpRequest r = newExchange.createRequest(target, nowNanos);
     decoder.setMethod(r.method());
     channel.writeAndFlush(r).addListener(f -> writeCompleted(f.cause()));
@@ -146,7 +153,10 @@
         body.subscribe(
             b -> channel.writeAndFlush(new DefaultHttpContent(b)),
             t -> fail(ErrorCode.CANCELLED, "request body was truncated"),
-            () -> channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
+            () -> {
+              requestSent = true;
+              channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+            });
   }
 
   private void writeCompleted(Throwable cause) {
@@ -171,9 +181,14 @@
   }
 
   private void handleContent(HttpContent c) {
-    boolean expected = meaning instanceof TargetProtocol.ResponseKind.Valid;
-    if (expected && !unusable) {
-      exchange.orElseThrow().appendBody(c.content());
+    if (!(meaning instanceof TargetProtocol.ResponseKind.Valid)) {
+      skippedBytes += c.content().readableBytes();
+      if (skippedBytes > MAX_SKIPPED_BYTES) {
+        fail(ErrorCode.ANSWER_MALFORMED, "other responses do not end");
+        return;
+      }
+    } else if (!unusable) {
+      exchange.orElseThrow().appendBody(c.content(), channel.config()::setAutoRead);
     }
     if (c instanceof LastHttpContent) {
       receiving = false;
@@ -200,6 +215,10 @@
     if (decoder.hasLeftover()) {
       Logger.info("target: received data after a complete response, closing the connection");
       close();
+    } else if (!requestSent) {
+      // The target would take the next request for the rest of this request's body.
+      Logger.info("target: response precedes the end of its request, closing the connection");
+      close();
     } else if (keepAlive && channel.isActive()) {
       onReusable.accept(this);
     } else {
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetExchange.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetExchange.java
@@ -33,6 +33,9 @@
   /** Largest response body that is buffered before it is passed on, in bytes. */
   private static final int MAX_BUFFERED_BYTES = 256 * 1024;
 
+  /** Bytes of a streamed response that nobody has read yet, above which reading pauses. */
+  private static final long MAX_UNREAD_BYTES = 256 * 1024;
+
   private static final long NANOS_PER_MILLI = 1_000_000;
 
   private final AttemptHead head;
@@ -44,6 +47,7 @@
   private Optional<HttpHeaders> requestHeaders = Optional.empty();
   private Optional<HttpResponse> responseHead = Optional.empty();
   private Optional<Sinks.Many<ByteBuf>> streamedResponse = Optional.empty();
+  private long unreadBytes;
   private boolean ended;
 
   TargetExchange(
@@ -105,25 +109,45 @@
     return m;
   }
 
-  /** Adds a part of the response body; the caller keeps the buffer. */
-  void appendBody(ByteBuf b) {
+  /**
+   * Adds a part of the response body; the caller keeps the buffer.
+   *
+   * @param b the part
+   * @param reading pauses and resumes reading from the target, so that a response that the caller
+   *     reads slowly or that does not end takes no more than a bounded amount of memory
+   */
+  void appendBody(ByteBuf b, BooleanSwitch reading) {
     if (ended || !b.isReadable()) {
       return;
     }
     if (streamedResponse.isPresent()) {
+      unreadBytes += b.readableBytes();
+      if (unreadBytes > MAX_UNREAD_BYTES) {
+        reading.set(false);
+      }
       streamedResponse.get().tryEmitNext(b.retain()).orThrow();
       return;
     }
     buffered.writeBytes(b);
     if (buffered.readableBytes() > MAX_BUFFERED_BYTES) {
       Sinks.Many<ByteBuf> s = Sinks.many().unicast().onBackpressureBuffer();
+      unreadBytes = buffered.readableBytes();
       s.tryEmitNext(buffered).orThrow();
       streamedResponse = Optional.of(s);
       HttpResponse r = responseHead.orElseThrow();
       listener.responseStarted(
           r.status().code(),
           new TargetExchangeListener.StreamedResponse(
-              protocol.fieldsForCaller(r.headers()), s.asFlux()));
+              protocol.fieldsForCaller(r.headers()),
+              s.asFlux().doOnNext(part -> countRead(part.readableBytes(), reading))));
+    }
+  }
+
+  private void countRead(int bytes, BooleanSwitch reading) {
+    boolean wasOverLimit = unreadBytes > MAX_UNREAD_BYTES;
+    unreadBytes -= bytes;
+    if (wasOverLimit && unreadBytes <= MAX_UNREAD_BYTES) {
+      reading.set(true);
     }
   }
 
@@ -189,4 +213,15 @@
   private static PomelohollowException truncated() {
     return new PomelohollowException(ErrorCode.CONNECTION_LOST, "the response was truncated");
   }
+
+  /** Something that can be switched on and off. */
+  @FunctionalInterface
+  interface BooleanSwitch {
+    /**
+     * Switches it.
+     *
+     * @param on whether it is to be on
+     */
+    void set(boolean on);
+  }
 }
--- /dev/null
+++ b/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/internal/call/TargetConnectionTest.java
@@ -0,0 +1,236 @@
+package org.pomelohollow.daemon.internal.call;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.pomelohollow.decision.TargetAnnouncement;
+import org.pomelohollow.errors.ErrorCode;
+import org.pomelohollow.model.Endpoint;
+import org.pomelohollow.model.HeaderField;
+import org.pomelohollow.model.Priority;
+import org.pomelohollow.model.RequestContext;
+import org.pomelohollow.model.ServiceId;
+import org.pomelohollow.wire.AttemptHead;
+import org.pomelohollow.wire.Bytes;
+import org.reactivestreams.Subscription;
+import reactor.core.publisher.BaseSubscriber;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Sinks;
+
+class TargetConnectionTest {
+  private static final String RESPONSE =
+      "HTTP/1.1 200 OK\r\nPomelo-Request-Id: r1\r\nContent-Length: 2\r\n\r\nok";
+  private static final int PART_BYTES = 64 * 1024;
+  private static final int MAX_HELD_BYTES = 2 << 20;
+
+  private final List<TargetConnection> reusable = new ArrayList<>();
+  private final Recorder recorder = new Recorder();
+  private final TargetConnection connection =
+      new TargetConnection(
+          new TargetResponseDecoder(new HttpDecoderConfig()), reusable::add, () -> {});
+  private final EmbeddedChannel channel =
+      new EmbeddedChannel(new HttpRequestEncoder(), connection.decoder(), connection);
+
+  @Test
+  void aConnectionIsReusedAfterAWholeExchange() {
+    send(Optional.empty(), Flux.empty());
+    receive(RESPONSE);
+    assertEquals(List.of(connection), reusable);
+    assertEquals("200 ok", recorder.outcome);
+  }
+
+  /**
+   * A target may respond before it has read a long body. The bytes of the next request would then
+   * be read as the rest of that body.
+   */
+  @Test
+  void aConnectionIsNotReusedBeforeTheRequestBodyWasSent() {
+    Sinks.Many<ByteBuf> body = Sinks.many().unicast().onBackpressureBuffer();
+    send(Optional.of(10L), body.asFlux());
+    body.tryEmitNext(Unpooled.copiedBuffer("12345", StandardCharsets.ISO_8859_1)).orThrow();
+    receive(RESPONSE);
+    assertEquals("200 ok", recorder.outcome);
+    assertEquals(List.of(), reusable);
+    assertFalse(channel.isActive());
+  }
+
+  @Test
+  void aConnectionIsReusedOnceTheRequestBodyWasSent() {
+    send(Optional.of(5L), Flux.just(Unpooled.copiedBuffer("12345", StandardCharsets.ISO_8859_1)));
+    receive(RESPONSE);
+    assertEquals(List.of(connection), reusable);
+  }
+
+  @Test
+  void readingPausesWhileTheCallerReadsNoneOfAResponseWithoutEnd() {
+    send(Optional.empty(), Flux.empty());
+    receive("HTTP/1.1 200 OK\r\nPomelo-Request-Id: r1\r\n\r\n");
+    int sent = 0;
+    while (channel.config().isAutoRead() && sent < 10 * MAX_HELD_BYTES) {
+      channel.writeInbound(Unpooled.wrappedBuffer(new byte[PART_BYTES]));
+      sent += PART_BYTES;
+    }
+    assertTrue(sent <= MAX_HELD_BYTES, "held " + sent + " bytes");
+    recorder.readAll();
+    assertTrue(channel.config().isAutoRead());
+  }
+
+  @Test
+  void aStreamedResponseThatIsCutIsNotComplete() {
+    send(Optional.empty(), Flux.empty());
+    receive("HTTP/1.1 200 OK\r\nPomelo-Request-Id: r1\r\nContent-Length: 9000000\r\n\r\n");
+    for (int i = 0; i < 5; i++) {
+      channel.writeInbound(Unpooled.wrappedBuffer(new byte[PART_BYTES]));
+    }
+    recorder.readAll();
+    channel.close();
+    assertEquals("truncated", recorder.outcome);
+  }
+
+  @Test
+  void headsAndResponsesOfOthersWithoutEndCloseTheConnection() {
+    String text = "x".repeat(1_000);
+    for (String start :
+        List.of(
+            "",
+            "HTTP/1.1 200 OK\r\n",
+            "HTTP/1.1 200 OK\r\nPomelo-Request-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nPomelo-Request-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                + "0\r\n",
+            "HTTP/1.1 200 OK\r\nPomelo-Request-Id: other\r\n\r\n")) {
+      TargetConnectionTest t = new TargetConnectionTest();
+      t.send(Optional.empty(), Flux.empty());
+      t.receive(start);
+      int sent = 0;
+      while (t.channel.isActive() && sent < 10 * MAX_HELD_BYTES) {
+        t.receive(text);
+        sent += text.length();
+      }
+      assertFalse(t.channel.isActive(), "open after " + sent + " bytes that follow " + start);
+      assertTrue(t.recorder.outcome.startsWith("failed, reached"), t.recorder.outcome);
+      assertTrue(t.reusable.isEmpty());
+    }
+  }
+
+  @Test
+  void aLateSecondCopyOfAnEarlierResponseIsSkipped() {
+    send(Optional.empty(), Flux.empty());
+    receive(RESPONSE);
+    recorder.outcome = "";
+    send(Optional.empty(), Flux.empty(), "r2");
+    receive(RESPONSE);
+    assertEquals("", recorder.outcome);
+    receive(RESPONSE.replace("r1", "r2").replace("\r\n\r\nok", "\r\n\r\nme"));
+    assertEquals("200 me", recorder.outcome);
+  }
+
+  private void send(Optional<Long> streamedLength, Flux<ByteBuf> body) {
+    send(streamedLength, body, "r1");
+  }
+
+  private void send(Optional<Long> streamedLength, Flux<ByteBuf> body, String id) {
+    RequestContext c =
+        new RequestContext(
+            id,
+            id,
+            new ServiceId("s"),
+            "route",
+            Optional.empty(),
+            new Priority(0),
+            Long.MAX_VALUE / 2,
+            true,
+            Optional.empty(),
+            1,
+            0,
+            0);
+    AttemptHead h =
+        AttemptHead.of(
+            c,
+            0,
+            false,
+            "POST",
+            "/x",
+            streamedLength
+                .map(n -> List.of(new HeaderField("content-length", n.toString())))
+                .orElse(List.of()),
+            streamedLength,
+            Bytes.of(new byte[0]));
+    TargetExchange x = new TargetExchange(h, c, body, new StandaloneTargetProtocol(), recorder);
+    connection.send(
+        x,
+        new TargetAnnouncement(
+            new ServiceId("s"), new Endpoint("127.0.0.1", 1), "i-1", 8, 8, false, 0),
+        0,
+        () -> {});
+  }
+
+  private void receive(String text) {
+    channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
+  }
+
+  /** Records the outcome of an exchange; reads a streamed body only when told to. */
+  private static final class Recorder implements TargetExchangeListener {
+    private String outcome = "";
+    private Optional<Reader> reader = Optional.empty();
+
+    @Override
+    public void responseStarted(int status, StreamedResponse response) {
+      Reader r = new Reader();
+      reader = Optional.of(r);
+      response.body().subscribe(r);
+    }
+
+    @Override
+    public void fullResponseReceived(int status, List<HeaderField> headers, ByteBuf body) {
+      outcome = status + " " + body.toString(StandardCharsets.ISO_8859_1);
+      body.release();
+    }
+
+    @Override
+    public void shed(long retryAfterMillis) {
+      outcome = "shed";
+    }
+
+    @Override
+    public void failed(boolean reached, ErrorCode code) {
+      outcome = "failed, " + (reached ? "reached, " : "") + code;
+    }
+
+    void readAll() {
+      reader.orElseThrow().request(Long.MAX_VALUE);
+    }
+
+    private final class Reader extends BaseSubscriber<ByteBuf> {
+      @Override
+      protected void hookOnSubscribe(Subscription s) {
+        // Nothing is requested yet.
+      }
+
+      @Override
+      protected void hookOnNext(ByteBuf b) {
+        b.release();
+      }
+
+      @Override
+      protected void hookOnComplete() {
+        outcome = "complete";
+      }
+
+      @Override
+      protected void hookOnError(Throwable t) {
+        outcome = "truncated";
+      }
+    }
+  }
+}
