Keep running requests on a silent peer link, and create body streams only where needed

Cause: a link with open streams was closed once nothing had been received for 3 s. A host that was paused for 4 s so lost its running reservations: the entry answered 502, and the target's daemon cut the request at its target.

Change: a silent link gets no new attempts. Idempotent attempts end and are made elsewhere; others, and those of the peer, go on until their deadlines, and a response that still comes is delivered. A silent link without streams is closed. Sender and receiver of a streamed body are created on demand; a frame of a body that is not streamed closes the link as malformed.

--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/link/ClientStream.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/link/ClientStream.java
@@ -19,8 +19,14 @@
   private final WireCodec codec;
   private final Flux<ByteBuf> body;
   private final ResponseListener responseListener;
-  private final BodySender sender;
-  private final BodyReceiver receiver;
+
+  /** Present while a streamed request body is sent. */
+  private Optional<BodySender> sender = Optional.empty();
+
+  /** Present once the head of a streamed response was received. */
+  private Optional<BodyReceiver> receiver = Optional.empty();
+
+  private boolean idempotent;
   private boolean bodyStarted;
   private boolean responseStarted;
   private boolean ended;
@@ -32,16 +38,19 @@
     this.codec = codec;
     this.body = body;
     this.responseListener = responseListener;
-    this.sender =
-        new BodySender(
-            0,
-            b -> link.send(new Frame(FrameType.DATA, id, 0, b)),
-            n -> link.send(Frame.of(FrameType.END, id, n)),
-            this::bodyFailed);
-    this.receiver = new BodyReceiver(false, n -> link.send(Frame.of(FrameType.CREDIT, id, n)));
   }
 
   void open(AttemptHead head) {
+    idempotent = head.idempotent();
+    if (head.streamedLength().isPresent()) {
+      sender =
+          Optional.of(
+              new BodySender(
+                  0,
+                  b -> link.send(new Frame(FrameType.DATA, id, 0, b)),
+                  n -> link.send(Frame.of(FrameType.END, id, n)),
+                  this::bodyFailed));
+    }
     link.send(Frame.of(FrameType.ATTEMPT, id, codec.encode(head)));
   }
 
@@ -52,7 +61,7 @@
     }
     close();
     link.send(Frame.of(FrameType.RESET, id, 0));
-    receiver.fail();
+    receiver.ifPresent(BodyReceiver::fail);
   }
 
   @Override
@@ -62,10 +71,12 @@
       case RESPONSE_HEAD -> receiveResponseHead(codec.decode(ResponseHead.class, f.takeBytes()));
       case FULL_RESPONSE -> receiveFullResponse(f);
       case FAILURE -> receiveFailure(codec.decode(AttemptFailure.class, f.takeBytes()));
-      case DATA -> receiver.receive(f.payload());
+      case DATA -> receiverOf(f).receive(f.payload());
       case END -> {
+        BodyReceiver r = receiverOf(f);
         f.payload().release();
-        endResponseBody(f.number());
+        close();
+        r.end(f.number());
       }
       case RESET -> {
         f.payload().release();
@@ -82,25 +93,46 @@
     }
     close();
     if (responseStarted) {
-      receiver.fail();
+      receiver.ifPresent(BodyReceiver::fail);
     } else {
       responseListener.failed(new Verdict.MayHaveRun(ErrorCode.CONNECTION_LOST), Optional.empty());
     }
   }
 
+  @Override
+  public void linkSilent() {
+    if (idempotent) {
+      link.send(Frame.of(FrameType.RESET, id, 0));
+      linkLost();
+    }
+  }
+
   private void receiveCredit(Frame f) {
+    if (sender.isEmpty()) {
+      link.rejectFrame(f);
+    }
     f.payload().release();
-    sender.addCredit(f.number());
+    sender.orElseThrow().addCredit(f.number());
     if (!bodyStarted) {
       bodyStarted = true;
-      body.subscribe(sender);
+      body.subscribe(sender.orElseThrow());
+    }
+  }
+
+  /** Returns the receiver of the response body; rejects a frame that precedes the head. */
+  private BodyReceiver receiverOf(Frame f) {
+    if (receiver.isEmpty()) {
+      link.rejectFrame(f);
     }
+    return receiver.orElseThrow();
   }
 
   private void receiveResponseHead(ResponseHead head) {
     if (!responseStarted) {
       responseStarted = true;
-      responseListener.responseStarted(head, receiver.flux().doOnCancel(this::cancel));
+      BodyReceiver r = new BodyReceiver(false, n -> link.send(Frame.of(FrameType.CREDIT, id, n)));
+      receiver = Optional.of(r);
+      responseListener.responseStarted(head, r.flux().doOnCancel(this::cancel));
     }
   }
 
@@ -125,17 +157,12 @@
     responseListener.failed(r.verdict(), load);
   }
 
-  private void endResponseBody(long length) {
-    close();
-    receiver.end(length);
-  }
-
   private void bodyFailed() {
     if (!ended) {
       close();
       link.send(Frame.of(FrameType.RESET, id, 0));
       if (responseStarted) {
-        receiver.fail();
+        receiver.ifPresent(BodyReceiver::fail);
       } else {
         responseListener.failed(new Verdict.MayHaveRun(ErrorCode.CANCELLED), Optional.empty());
       }
@@ -145,6 +172,6 @@
   private void close() {
     ended = true;
     link.removeStream(id);
-    sender.cancel();
+    sender.ifPresent(BodySender::cancel);
   }
 }
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/link/Link.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/link/Link.java
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -17,6 +18,7 @@
 import org.pomelohollow.wire.AttemptHead;
 import org.pomelohollow.wire.Hello;
 import org.pomelohollow.wire.WireCodec;
+import org.tinylog.Logger;
 import reactor.core.publisher.Flux;
 
 /**
@@ -27,6 +29,7 @@
 final class Link extends SimpleChannelInboundHandler<Frame> {
   private static final int STREAM_STEP = 2;
   private static final long HANDSHAKE_TIMEOUT_MILLIS = 3_000;
+  private static final long MAX_SILENCE_NANOS = Duration.ofSeconds(3).toNanos();
 
   private final WireCodec codec;
   private final Handshake handshake;
@@ -39,6 +42,7 @@
   private long highestPeerStream;
   private long lastReceivedNanos = System.nanoTime();
   private boolean up;
+  private boolean silent;
   private boolean reading;
 
   Link(
@@ -61,18 +65,36 @@
     return handshake.peer();
   }
 
-  /** Returns whether the handshake has succeeded and the connection is open. */
+  /**
+   * Returns whether the handshake has succeeded and the connection is open and not {@linkplain
+   * #checkSilence silent}.
+   */
   boolean isUp() {
-    return up && channel.isActive();
-  }
-
-  int streamCount() {
-    return streams.size();
-  }
-
-  /** Returns when the last frame was received, as monotonic time in nanoseconds. */
-  long lastReceivedNanos() {
-    return lastReceivedNanos;
+    return up && !silent && channel.isActive();
+  }
+
+  /**
+   * Checks whether the peer, which sends a ping every second, was silent for too long.
+   *
+   * <p>A silent link gets no new attempts. Attempts of idempotent requests end, so that they can be
+   * made elsewhere. Others, and the peer's own, go on until their deadlines: the peer may only be
+   * paused, and giving them up would lose responses that it can still deliver. The link is closed
+   * once it has no streams.
+   *
+   * @param nowNanos current monotonic time, in nanoseconds
+   */
+  void checkSilence(long nowNanos) {
+    if (!up || nowNanos - lastReceivedNanos <= MAX_SILENCE_NANOS) {
+      return;
+    }
+    if (!silent) {
+      silent = true;
+      Logger.info("links: {} is silent, {} open streams", peer(), streams.size());
+    }
+    List.copyOf(streams.values()).forEach(LinkStream::linkSilent);
+    if (streams.isEmpty()) {
+      close();
+    }
   }
 
   void sendControl(byte[] message) {
@@ -128,6 +150,7 @@
   @Override
   protected void channelRead0(ChannelHandlerContext ctx, Frame f) {
     reading = true;
+    silent = false;
     lastReceivedNanos = System.nanoTime();
     if (!up) {
       receiveHandshake(f);
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/link/LinkStream.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/link/LinkStream.java
@@ -11,4 +11,10 @@
 
   /** Ends the stream because the link was closed. */
   void linkLost();
+
+  /**
+   * Nothing was received on the link for a while; the peer may be paused, or the connection may be
+   * dead. Ends the stream if its request can be attempted again elsewhere.
+   */
+  void linkSilent();
 }
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/link/PeerLinks.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/link/PeerLinks.java
@@ -15,7 +15,6 @@
 import io.netty.handler.codec.LengthFieldPrepender;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -44,7 +43,6 @@
  */
 public final class PeerLinks implements LinkListener {
   private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
-  private static final long MAX_SILENCE_NANOS = Duration.ofSeconds(3).toNanos();
 
   private final MemberId self;
   private final PeerSecret secret;
@@ -168,18 +166,12 @@
     return p::cancel;
   }
 
-  /**
-   * Closes the links that have open streams and on which nothing was received for 3 s, and sends a
-   * ping on all others.
-   */
+  /** Sends a ping on all links and looks for those on which nothing is received any more. */
   public void checkLiveness() {
     long now = System.nanoTime();
     for (Link l : allLinks()) {
-      if (l.streamCount() > 0 && now - l.lastReceivedNanos() > MAX_SILENCE_NANOS) {
-        l.close();
-      } else {
-        l.ping();
-      }
+      l.ping();
+      l.checkSilence(now);
     }
   }
 
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/link/ServerStream.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/link/ServerStream.java
@@ -18,8 +18,13 @@
   private final Link link;
   private final long id;
   private final WireCodec codec;
-  private final BodySender sender;
-  private final BodyReceiver receiver;
+
+  /** Present once a streamed response has started. */
+  private Optional<BodySender> sender = Optional.empty();
+
+  /** Present if the request body is streamed. */
+  private Optional<BodyReceiver> receiver = Optional.empty();
+
   private Runnable cancelAttempt = () -> {};
   private boolean ended;
 
@@ -27,17 +32,15 @@
     this.link = link;
     this.id = id;
     this.codec = codec;
-    this.sender =
-        new BodySender(
-            BodyReceiver.WINDOW_BYTES,
-            b -> link.send(new Frame(FrameType.DATA, id, 0, b)),
-            this::bodyEnded,
-            this::bodyFailed);
-    this.receiver = new BodyReceiver(true, n -> link.send(Frame.of(FrameType.CREDIT, id, n)));
   }
 
   void start(AttemptHead head, AttemptHandler handler) {
-    cancelAttempt = handler.startAttempt(head, receiver.flux(), this);
+    if (head.streamedLength().isPresent()) {
+      receiver =
+          Optional.of(new BodyReceiver(true, n -> link.send(Frame.of(FrameType.CREDIT, id, n))));
+    }
+    cancelAttempt =
+        handler.startAttempt(head, receiver.map(BodyReceiver::flux).orElse(Flux.empty()), this);
   }
 
   @Override
@@ -45,12 +48,13 @@
     switch (f.type()) {
       case CREDIT -> {
         f.payload().release();
-        sender.addCredit(f.number());
+        sender.ifPresent(s -> s.addCredit(f.number()));
       }
-      case DATA -> receiver.receive(f.payload());
+      case DATA -> receiverOf(f).receive(f.payload());
       case END -> {
+        BodyReceiver r = receiverOf(f);
         f.payload().release();
-        receiver.end(f.number());
+        r.end(f.number());
       }
       case RESET -> {
         f.payload().release();
@@ -64,20 +68,32 @@
   public void linkLost() {
     if (!ended) {
       close();
-      receiver.fail();
-      sender.cancel();
+      receiver.ifPresent(BodyReceiver::fail);
+      sender.ifPresent(BodySender::cancel);
       cancelAttempt.run();
     }
   }
 
+  @Override
+  public void linkSilent() {
+    // The request goes on: the entry daemon may resume, and the deadline bounds it otherwise.
+  }
+
   @Override
   public void responseStarted(ResponseHead head, Flux<ByteBuf> body) {
     if (ended) {
       body.subscribe(ByteBuf::release).dispose();
       return;
     }
+    BodySender s =
+        new BodySender(
+            BodyReceiver.WINDOW_BYTES,
+            b -> link.send(new Frame(FrameType.DATA, id, 0, b)),
+            this::bodyEnded,
+            this::bodyFailed);
+    sender = Optional.of(s);
     link.send(Frame.of(FrameType.RESPONSE_HEAD, id, codec.encode(head)));
-    body.subscribe(sender);
+    body.subscribe(s);
   }
 
   @Override
@@ -100,6 +116,14 @@
     }
   }
 
+  /** Returns the receiver of the request body; rejects a frame of a body that is not streamed. */
+  private BodyReceiver receiverOf(Frame f) {
+    if (receiver.isEmpty()) {
+      link.rejectFrame(f);
+    }
+    return receiver.orElseThrow();
+  }
+
   private void bodyEnded(long length) {
     if (!ended) {
       close();
