Close connections without a reset, and order an interim response after earlier ones

Cause: (1) a connection was closed right after its last response; bytes that the caller had sent meanwhile were unread, so the system reset it, which can destroy the response. (2) 100 Continue was written at once, also into the responses to earlier pipelined requests.

Change: after the last response only the sending direction is closed, and what arrives is discarded until the caller closes, 500 ms at most; not where the caller itself asked for the close. An interim response waits for the earlier responses.

--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/InboundConnection.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/InboundConnection.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -19,6 +20,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.pomelohollow.daemon.protocol.InboundHandler;
@@ -40,6 +42,9 @@
   /** Requests that run concurrently for one connection; further ones wait in the socket. */
   private static final int MAX_PIPELINED = 64;
 
+  /** Time for the caller to close its side after the last response, in milliseconds. */
+  private static final long LINGER_MILLIS = 500;
+
   private final InboundHandler handler;
   private final BooleanSupplier shuttingDown;
   private final long maxBodyBytes;
@@ -49,6 +54,7 @@
   private ChannelHandlerContext ctx;
   private BodyReader reader;
   private boolean sending;
+  private boolean continueDue;
   private boolean closing;
   private long lastActivityNanos;
 
@@ -141,9 +147,19 @@
     while (!sending && !pending.isEmpty() && pending.peek().responseHead().isPresent()) {
       sendResponse(pending.peek());
     }
+    sendContinueIfDue();
     ctx.channel().config().setAutoRead(pending.size() < MAX_PIPELINED && !isBodyOverUnreadLimit());
   }
 
+  /** Sends an interim response, unless the responses to earlier requests are still due. */
+  private void sendContinueIfDue() {
+    if (continueDue && pending.isEmpty() && !sending) {
+      continueDue = false;
+      ctx.writeAndFlush(
+          new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+    }
+  }
+
   private boolean isBodyOverUnreadLimit() {
     return reader != null && reader.isOverUnreadLimit();
   }
@@ -159,10 +175,8 @@
       startRequest(r, RequestBody.streamed(Flux.empty(), length));
       return;
     }
-    if (HttpUtil.is100ContinueExpected(r)) {
-      ctx.writeAndFlush(
-          new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
-    }
+    continueDue = HttpUtil.is100ContinueExpected(r);
+    sendContinueIfDue();
     reader = new BodyReader(r, maxBodyBytes, () -> ctx.channel().config().setAutoRead(true));
   }
 
@@ -177,6 +191,7 @@
     RequestBody body = start ? reader.createBody() : null;
     if (last) {
       reader = null;
+      continueDue = false;
     }
     if (start) {
       startRequest(r, body);
@@ -247,8 +262,25 @@
     lastActivityNanos = System.nanoTime();
     pending.remove(p);
     if (last) {
-      ctx.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> ctx.close());
+      boolean callerCloses = !HttpUtil.isKeepAlive(p.head());
+      ctx.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> closeAfterResponses(callerCloses));
+    }
+  }
+
+  /**
+   * Closes the connection. Unless the caller asked for that, it may have sent more requests, and
+   * closing a socket with unread bytes resets the connection, which can destroy responses that the
+   * caller has not read yet. Therefore only the sending direction is closed, and what still arrives
+   * is discarded until the caller closes its side or {@link #LINGER_MILLIS} have passed.
+   */
+  private void closeAfterResponses(boolean callerCloses) {
+    if (callerCloses || !(ctx.channel() instanceof DuplexChannel d) || !d.isActive()) {
+      ctx.close();
+      return;
     }
+    ctx.channel().config().setAutoRead(true);
+    d.shutdownOutput();
+    ctx.executor().schedule(() -> ctx.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
   }
 
   /** Sends a streamed response body, one buffer at a time, as fast as the caller reads. */
--- a/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/internal/http/CallerServerTest.java
+++ b/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/internal/http/CallerServerTest.java
@@ -13,7 +13,6 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.pomelohollow.daemon.protocol.InboundRequest;
 import org.pomelohollow.daemon.protocol.SimpleResponses;
@@ -24,6 +23,7 @@
 class CallerServerTest {
   private static final String LOOPBACK = "127.0.0.1";
   private static final int TIMEOUT_MILLIS = 5_000;
+  private static final int ARRIVAL_MILLIS = 50;
   private static final String REQUEST = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
 
   private final LoopResources loops = LoopResources.create("caller-server-test", 1, true);
@@ -51,7 +51,6 @@
   }
 
   @Test
-  @Tag("known-red")
   void aDrainingServerRespondsToAcceptedRequestsAndAcceptsNoMore() throws Exception {
     try (Socket s = connect()) {
       send(s, REQUEST + REQUEST);
@@ -68,6 +67,58 @@
     }
   }
 
+  /** A connection that is closed with unread bytes is reset, which can destroy its responses. */
+  @Test
+  void aCallerWhoseLastBytesAreUnreadIsNotReset() throws Exception {
+    try (Socket s = connect()) {
+      send(s, REQUEST);
+      InboundRequest last = next();
+      onLoop(server::drain);
+      // Runs on the event loop, so that the second request is unread when the response is sent.
+      loops
+          .onServer(true)
+          .next()
+          .submit(
+              () -> {
+                send(s, REQUEST);
+                Thread.sleep(ARRIVAL_MILLIS);
+                last.respond(SimpleResponses.text(HttpResponseStatus.OK, "last"));
+                return true;
+              })
+          .get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+      Thread.sleep(ARRIVAL_MILLIS);
+      String all = new String(s.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+      assertTrue(all.contains("connection: close") && all.endsWith("last"), all);
+      assertTrue(received.isEmpty());
+    }
+  }
+
+  @Test
+  void anInterimResponseDoesNotPrecedeTheResponseToAnEarlierRequest() throws Exception {
+    try (Socket s = connect()) {
+      send(
+          s,
+          REQUEST
+              + "POST /x HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\n"
+              + "Content-Length: 2\r\n\r\n");
+      InboundRequest first = next();
+      onLoop(() -> {});
+      onLoop(() -> first.respond(SimpleResponses.text(HttpResponseStatus.OK, "first")));
+      String interim = "HTTP/1.1 100 Continue\r\n\r\n";
+      StringBuilder all = new StringBuilder();
+      while (!all.toString().endsWith(interim)) {
+        all.append((char) s.getInputStream().read());
+      }
+      assertTrue(all.toString().endsWith("first" + interim), all.toString());
+      send(s, "hi");
+      InboundRequest second = next();
+      onLoop(() -> second.respond(SimpleResponses.text(HttpResponseStatus.OK, "second")));
+      while (!all.toString().endsWith("second")) {
+        all.append((char) s.getInputStream().read());
+      }
+    }
+  }
+
   private Socket connect() throws IOException {
     Socket s = new Socket(InetAddress.getLoopbackAddress(), server.address().port());
     s.setSoTimeout(TIMEOUT_MILLIS);
