--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetClient.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetClient.java
@@ -221,7 +221,7 @@
         exchange.fail(false, ErrorCode.UNREACHABLE, "cannot connect");
         onUnreachable.run();
       } else if (exchange.isEnded()) {
-        idle.addLast(c);
+        releaseConnection(c, to);
       } else {
         send(c);
       }
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/settings/SettingsReader.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/settings/SettingsReader.java
@@ -8,6 +8,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.UnaryOperator;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.pomelohollow.document.ParseResult;
 import org.pomelohollow.document.Problem;
 import org.pomelohollow.document.TomlReader;
@@ -22,6 +24,8 @@
 public final class SettingsReader {
   private static final List<String> LOG_LEVELS = List.of("trace", "debug", "info", "warn", "error");
   private static final long MAX_DURATION_MILLIS = Duration.ofHours(1).toMillis();
+  private static final double MILLIS_PER_SECOND = 1e3;
+  private static final Pattern DURATION = Pattern.compile("(\\d{1,9}(?:\\.\\d{1,9})?)(ms|s)");
 
   private final UnaryOperator<String> environment;
 
@@ -187,15 +191,19 @@
 
   /** Parses a number with unit {@code ms} or {@code s}. */
   private static Duration parseDuration(String text) {
-    try {
-      return text.endsWith("ms")
-          ? Duration.ofMillis(Long.parseLong(text.substring(0, text.length() - 2)))
-          : Duration.ofMillis(
-              (long) (Double.parseDouble(text.substring(0, text.length() - 1)) * 1_000));
-    } catch (NumberFormatException | IndexOutOfBoundsException e) {
+    Matcher m = DURATION.matcher(text);
+    if (!m.matches()) {
+      throw new PomelohollowException(
+          ErrorCode.TOML_OUT_OF_RANGE, "\"" + text + "\" is not a duration in ms or s");
+    }
+    double number = Double.parseDouble(m.group(1));
+    double millis = m.group(2).equals("s") ? number * MILLIS_PER_SECOND : number;
+    if (millis > MAX_DURATION_MILLIS) {
       throw new PomelohollowException(
-          ErrorCode.TOML_OUT_OF_RANGE, "\"" + text + "\" is not a duration in ms or s", e);
+          ErrorCode.TOML_OUT_OF_RANGE,
+          "\"" + text + "\" is longer than " + MAX_DURATION_MILLIS + " ms");
     }
+    return Duration.ofMillis((long) millis);
   }
 
   private static Duration readMillis(TomlSection s, String key, Duration fallback) {
--- a/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/TargetHeartbeatSequencerTest.java
+++ b/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/TargetHeartbeatSequencerTest.java
@@ -38,6 +38,12 @@
     assertEquals(Outcome.STALE, sequencer.accept(heartbeat("old", 100, 99, false)));
   }
 
+  @Test
+  void aHeartbeatWithoutAStartTimeDoesNotReplaceAnIncarnationThatHasOne() {
+    sequencer.accept(heartbeat("new", 200, 1, false));
+    assertEquals(Outcome.STALE, sequencer.accept(heartbeat("old", 0, 99, false)));
+  }
+
   @Test
   void onlyTheCurrentIncarnationCanWithdraw() {
     sequencer.accept(heartbeat("new", 200, 1, false));
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/TargetHeartbeatSequencer.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/TargetHeartbeatSequencer.java
@@ -51,8 +51,12 @@
     return matches;
   }
 
+  /**
+   * Returns whether an incarnation started before another. One without a start time counts as
+   * earlier than one with it: a delayed heartbeat must not bring a former incarnation back.
+   */
   private static boolean isEarlier(TargetAnnouncement a, TargetAnnouncement other) {
-    return a.startedMillis() != 0 && a.startedMillis() < other.startedMillis();
+    return a.startedMillis() < other.startedMillis();
   }
 
   /** Result of applying a heartbeat. */
