Encode a frame of the peer link in one step and one buffer

Cause: each frame passed four handlers each way, and its length, head and payload were three buffers joined in composites and sent with writev.

Change: FrameEncoder writes length and head, with a payload up to 8 KB copied behind them; FrameDecoder cuts and parses a frame in one handler; packer and unpacker are kept for the connection.

--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/link/BodyReceiver.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/link/BodyReceiver.java
@@ -15,7 +15,7 @@
   static final long WINDOW_BYTES = 256 * 1024;
 
   /** Bytes by which the last buffer may exceed the credit: a sender stops only after a buffer. */
-  private static final long MAX_OVERSHOOT_BYTES = FrameCodec.MAX_FRAME_BYTES;
+  private static final long MAX_OVERSHOOT_BYTES = FrameDecoder.MAX_FRAME_BYTES;
 
   private final Queue<ByteBuf> queue = new ArrayDeque<>();
   private final Sinks.Many<ByteBuf> sink = Sinks.many().unicast().onBackpressureBuffer(queue);
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/link/PeerLinks.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/link/PeerLinks.java
@@ -11,8 +11,6 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.ServerSocketChannel;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
-import io.netty.handler.codec.LengthFieldPrepender;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -283,17 +281,7 @@
                 .<LinkListener>map(d -> new PendingConnectionListener(PeerLinks.this, d))
                 .orElse(PeerLinks.this);
         Link l = new Link(codec, new Handshake(secret, self, initiator), initiator, o, handler);
-        ch.pipeline()
-            .addLast(
-                new LengthFieldBasedFrameDecoder(
-                    FrameCodec.MAX_FRAME_BYTES,
-                    0,
-                    FrameCodec.LENGTH_BYTES,
-                    0,
-                    FrameCodec.LENGTH_BYTES))
-            .addLast(new LengthFieldPrepender(FrameCodec.LENGTH_BYTES))
-            .addLast(new FrameCodec())
-            .addLast(l);
+        ch.pipeline().addLast(new FrameDecoder()).addLast(new FrameEncoder()).addLast(l);
       }
     };
   }
