Spend no account tokens after a pause, and detect a suspended host

Cause: a daemon dropped the tokens that its home had lent it at the next tick only. A request that came first after a pause was granted with tokens whose second had run out long ago, while other daemons had got their share. A host that was suspended saw no pause at all, because its monotonic clock stands still meanwhile; a home that resumed went on with a full bucket beside its successor.

Change: the lifetime is checked when a token is spent; after a pause held tokens and buckets are dropped; the pause detector compares the time of day as well. A clock that is stepped forward looks like a pause, which costs a confirmation by a peer.

--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/Daemon.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/Daemon.java
@@ -239,6 +239,7 @@
             new Node.Setup(selfMember, settings.seeds(), deployment.nodeSettings()),
             entry,
             System::nanoTime,
+            System::currentTimeMillis,
             new SplittableRandom(self.hashCode()),
             this::executeEffect);
     AttemptHandler localTargetSide = targetSide();
--- a/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/rates/HomeBucketRateLimiterTest.java
+++ b/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/rates/HomeBucketRateLimiterTest.java
@@ -34,6 +34,7 @@
   private static final double RATE = 100;
   private static final long NANOS_PER_MILLI = 1_000_000L;
   private static final int DAEMONS = 6;
+  private static final long PAUSE_NANOS = 5_000 * NANOS_PER_MILLI;
 
   /** Requests that the platform allows in five seconds: rate and burst, 10 % more, and 20. */
   private static final double MAX_GRANTS_IN_FIVE_SECONDS = (5 * RATE + RATE) * 1.1 + 20;
@@ -109,6 +110,37 @@
     assertTrue(grantNanos.size() - grantsBefore >= 0.5 * RATE);
   }
 
+  @Test
+  void aDaemonSpendsNoTokensAfterTheirLifetime() {
+    startAll();
+    MemberId home = findHome();
+    MemberId other =
+        daemons.keySet().stream().filter(id -> !id.equals(home)).findFirst().orElseThrow();
+    run(2_000, 0.8 * RATE, other::equals);
+    nowNanos += PAUSE_NANOS;
+    List<QuotaResult> results = new ArrayList<>();
+    for (int i = 0; i < 20; i++) {
+      daemons.get(other).acquire(ACCOUNT, nowNanos, results::add);
+    }
+    assertEquals(List.of(), results);
+  }
+
+  @Test
+  void theRateHoldsWhenAHomeResumesThatOthersHaveReplaced() {
+    startAll();
+    run(5_000, 3 * RATE, id -> true);
+    MemberId home = findHome();
+    stoppedDaemons.add(home);
+    publishRosters(home);
+    run(5_000, 3 * RATE, id -> true);
+    stoppedDaemons.clear();
+    daemons.get(home).handle(new Event.ProcessResumed(PAUSE_NANOS), nowNanos);
+    run(500, 5 * RATE, id -> true);
+    publishRosters();
+    run(5_000, 3 * RATE, id -> true);
+    assertWithinRate();
+  }
+
   @Test
   void anAccountWithoutALimitNeedsNoHome() {
     HomeBucketRateLimiter r = new HomeBucketRateLimiter(id(0), e -> {});
@@ -144,6 +176,16 @@
     daemons.forEach((id, r) -> r.handle(new Event.RosterChanged(roster(id)), nowNanos));
   }
 
+  /** Gives all daemons their rosters but one, which is paused. */
+  private void publishRosters(MemberId paused) {
+    daemons.forEach(
+        (id, r) -> {
+          if (!id.equals(paused)) {
+            r.handle(new Event.RosterChanged(roster(id)), nowNanos);
+          }
+        });
+  }
+
   private Roster roster(MemberId observer) {
     List<Member> visible =
         daemons.keySet().stream()
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/Node.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/Node.java
@@ -43,6 +43,7 @@
  */
 public final class Node {
   private final LongSupplier clock;
+  private final LongSupplier wallClockMillis;
   private final EffectSink effects;
   private final Deque<Event> pendingEvents = new ArrayDeque<>();
   private final PauseDetector pauseDetector = new PauseDetector();
@@ -61,6 +62,7 @@
    * @param setup identity and settings of the daemon
    * @param transport sends attempts to the daemons of targets
    * @param clock monotonic time, in nanoseconds
+   * @param wallClockMillis time of day, in milliseconds since the epoch; used to detect pauses only
    * @param random source of random choices
    * @param externalEffects receives the effects to carry out outside this node
    */
@@ -68,9 +70,11 @@
       Setup setup,
       AttemptTransport transport,
       LongSupplier clock,
+      LongSupplier wallClockMillis,
       RandomGenerator random,
       EffectSink externalEffects) {
     this.clock = clock;
+    this.wallClockMillis = wallClockMillis;
     this.effects = e -> routeEffect(e, externalEffects);
     this.config = new ConfigController(effects, setup.settings().documentFormat());
     this.membership =
@@ -182,7 +186,7 @@
   private void checkForPause() {
     if (!dispatching) {
       pauseDetector
-          .check(clock.getAsLong())
+          .check(clock.getAsLong(), wallClockMillis.getAsLong())
           .ifPresent(pauseNanos -> dispatchInOrder(new Event.ProcessResumed(pauseNanos)));
     }
   }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/rates/AccountTokens.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/rates/AccountTokens.java
@@ -100,6 +100,11 @@
     }
   }
 
+  /** Drops the tokens that are held, because the process was paused. */
+  void dropHeldTokens() {
+    heldTokens = 0;
+  }
+
   /** Returns whether to request tokens from the home now. */
   boolean shouldRequestTokens(long nowNanos) {
     boolean isDue = !homeUnresponsive || nowNanos - requestedNanos > RETRY_NANOS;
@@ -156,8 +161,9 @@
     }
   }
 
+  /** Spends a token. Its lifetime is checked here as well, since a pause may precede the tick. */
   private boolean spendToken(long nowNanos) {
-    if (heldTokens >= 1) {
+    if (heldTokens >= 1 && tokensExpireNanos - nowNanos >= 0) {
       heldTokens--;
       return true;
     }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/rates/HomeBucketRateLimiter.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/rates/HomeBucketRateLimiter.java
@@ -91,6 +91,10 @@
             t.tick(nowNanos);
             requestTokens(a, t, nowNanos);
           });
+    } else if (event instanceof Event.ProcessResumed) {
+      // Another daemon may have become the home, and tokens may have outlived their time.
+      ownBuckets.clear();
+      tokensByAccount.values().forEach(AccountTokens::dropHeldTokens);
     } else if (event instanceof Event.MessageReceived m) {
       onMessage(m, nowNanos);
     } else if (event instanceof Event.LogRead r && r.stream() == LogStream.MEMBERS) {
--- a/org.pomelohollow.junit/src/main/java/org/pomelohollow/junit/SimulatedMember.java
+++ b/org.pomelohollow.junit/src/main/java/org/pomelohollow/junit/SimulatedMember.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.concurrent.TimeUnit;
 import org.pomelohollow.decision.Effect;
 import org.pomelohollow.decision.Event;
 import org.pomelohollow.decision.PauseDetector;
@@ -134,7 +135,7 @@
   /** Handles an event, after reporting a gap in time that the pause detector finds. */
   void handle(Event e, long nowNanos) {
     pauseDetector
-        .check(nowNanos)
+        .check(nowNanos, TimeUnit.NANOSECONDS.toMillis(nowNanos))
         .ifPresent(gap -> controller.handle(new Event.ProcessResumed(gap), nowNanos));
     controller.handle(e, nowNanos);
   }
