Resume reading from the target when a response ends before the caller has read it

Cause: the end of a response may arrive together with the part that pauses reading. The connection was then reused while paused; if the earlier caller left without reading, the next request on it waited until its deadline. Found while reading the change that pauses.

Change: reading resumes when a response is complete. The test failed before.

--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetConnection.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetConnection.java
@@ -184,7 +184,9 @@
     if (!(meaning instanceof TargetProtocol.ResponseKind.Valid)) {
       skippedBytes += c.content().readableBytes();
       if (skippedBytes > MAX_SKIPPED_BYTES) {
-        fail(ErrorCode.ANSWER_MALFORMED, "other responses do not end");
+        fail(
+            ErrorCode.ANSWER_MALFORMED,
+            "more than " + MAX_SKIPPED_BYTES + " bytes of responses to other requests");
         return;
       }
     } else if (!unusable) {
@@ -211,6 +213,7 @@
     exchange = Optional.empty();
     onEnd.run();
     bodySubscription.dispose();
+    channel.config().setAutoRead(true); // May be paused while the caller reads the last parts.
     idleSinceNanos = System.nanoTime();
     if (decoder.hasLeftover()) {
       Logger.info("target: received data after a complete response, closing the connection");
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetExchange.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetExchange.java
@@ -14,6 +14,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.pomelohollow.daemon.protocol.TargetProtocol;
 import org.pomelohollow.decision.TargetAnnouncement;
 import org.pomelohollow.errors.ErrorCode;
@@ -113,17 +114,17 @@
    * Adds a part of the response body; the caller keeps the buffer.
    *
    * @param b the part
-   * @param reading pauses and resumes reading from the target, so that a response that the caller
-   *     reads slowly or that does not end takes no more than a bounded amount of memory
+   * @param setReading pauses (false) and resumes (true) reading from the target, so that a response
+   *     that the caller reads slowly or that does not end takes a bounded amount of memory
    */
-  void appendBody(ByteBuf b, BooleanSwitch reading) {
+  void appendBody(ByteBuf b, Consumer<Boolean> setReading) {
     if (ended || !b.isReadable()) {
       return;
     }
     if (streamedResponse.isPresent()) {
       unreadBytes += b.readableBytes();
       if (unreadBytes > MAX_UNREAD_BYTES) {
-        reading.set(false);
+        setReading.accept(false);
       }
       streamedResponse.get().tryEmitNext(b.retain()).orThrow();
       return;
@@ -139,15 +140,15 @@
           r.status().code(),
           new TargetExchangeListener.StreamedResponse(
               protocol.fieldsForCaller(r.headers()),
-              s.asFlux().doOnNext(part -> countRead(part.readableBytes(), reading))));
+              s.asFlux().doOnNext(part -> countRead(part.readableBytes(), setReading))));
     }
   }
 
-  private void countRead(int bytes, BooleanSwitch reading) {
+  private void countRead(int bytes, Consumer<Boolean> setReading) {
     boolean wasOverLimit = unreadBytes > MAX_UNREAD_BYTES;
     unreadBytes -= bytes;
     if (wasOverLimit && unreadBytes <= MAX_UNREAD_BYTES) {
-      reading.set(true);
+      setReading.accept(true);
     }
   }
 
@@ -213,15 +214,4 @@
   private static PomelohollowException truncated() {
     return new PomelohollowException(ErrorCode.CONNECTION_LOST, "the response was truncated");
   }
-
-  /** Something that can be switched on and off. */
-  @FunctionalInterface
-  interface BooleanSwitch {
-    /**
-     * Switches it.
-     *
-     * @param on whether it is to be on
-     */
-    void set(boolean on);
-  }
 }
--- a/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/internal/call/TargetConnectionTest.java
+++ b/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/internal/call/TargetConnectionTest.java
@@ -86,6 +86,26 @@
     assertTrue(channel.config().isAutoRead());
   }
 
+  /** The end of a response may arrive together with the part that pauses reading. */
+  @Test
+  void readingResumesWhenTheResponseEndsBeforeTheCallerHasReadIt() {
+    int parts = 10;
+    send(Optional.empty(), Flux.empty());
+    receive(
+        "HTTP/1.1 200 OK\r\nPomelo-Request-Id: r1\r\nContent-Length: "
+            + parts * PART_BYTES
+            + "\r\n\r\n");
+    for (int i = 0; i < parts - 1; i++) {
+      channel.writeInbound(Unpooled.wrappedBuffer(new byte[PART_BYTES]));
+    }
+    assertFalse(channel.config().isAutoRead());
+    channel.writeInbound(Unpooled.wrappedBuffer(new byte[PART_BYTES]));
+    assertEquals(List.of(connection), reusable);
+    assertTrue(channel.config().isAutoRead());
+    recorder.readAll();
+    assertEquals("complete", recorder.outcome);
+  }
+
   @Test
   void aStreamedResponseThatIsCutIsNotComplete() {
     send(Optional.empty(), Flux.empty());
