--- a/org.pomelohollow.bench/src/main/java/org/pomelohollow/bench/process/FreshProcessExperiment.java
+++ b/org.pomelohollow.bench/src/main/java/org/pomelohollow/bench/process/FreshProcessExperiment.java
@@ -6,7 +6,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.atomic.AtomicLong;
 import org.pomelohollow.bench.BenchFleet;
 import org.pomelohollow.bench.load.Caller;
@@ -119,21 +118,14 @@
     return new DaemonProcess(directory, name, service, store.address(), javaOptions);
   }
 
-  private Map<String, String> headers() {
-    return Map.of(
-        "Host",
-        HostSettings.CALLER_HOST,
-        "Credential",
-        HostSettings.KEY,
-        "Request-Id",
-        "fresh-" + requestCount.incrementAndGet(),
-        "Deadline-Ms",
-        "2000");
-  }
-
   private Mono<Outcome> request(Caller c, DaemonProcess to, int route) {
     return Mono.defer(
-        () -> c.send(to.callerAddress(), HttpMethod.GET, "/" + route + "/x", headers()));
+        () ->
+            c.send(
+                to.callerAddress(),
+                HttpMethod.GET,
+                "/" + route + "/x",
+                HostSettings.callerHeaders("fresh-" + requestCount.incrementAndGet())));
   }
 
   private static boolean isServed(Mono<Outcome> request) {
