Split the membership controller: heartbeats sent, heartbeats received, roster published

HeartbeatSender composes and sends, HeartbeatReceiver handles what peers send, RosterPublisher decides when routing gets a new roster; the controller keeps the events. No behaviour changes.

--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/membership/MembershipController.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/membership/MembershipController.java
@@ -4,7 +4,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
@@ -34,30 +33,14 @@
  */
 public final class MembershipController implements Controller {
   private static final String PART = "members";
-  private static final long HEARTBEAT_INTERVAL_NANOS = 400_000_000L;
 
   /** Interval of heartbeats to addresses of possible members outside the roster. */
   private static final long DISCOVERY_INTERVAL_NANOS = 1_000_000_000L;
 
-  /**
-   * Age below which an acknowledged heartbeat counts as recent: the message that acknowledges it
-   * then can't be a late one.
-   */
-  private static final long RECENT_ACK_NANOS = 2_000_000_000L;
-
-  /** Least time between rosters that differ only in the limits of targets. */
-  private static final long LIMIT_PUBLISH_INTERVAL_NANOS = 1_000_000_000L;
-
-  /**
-   * Heartbeats in a row with a differing digest after which a neighbour is asked for its roster.
-   */
-  private static final int MISMATCHES_BEFORE_SYNC = 2;
-
   /** Most members probed at random besides the neighbours while the view is unconfirmed. */
   private static final int RANDOM_PROBES = 3;
 
   private final Member self;
-  private final ConfigController config;
   private final RandomGenerator random;
   private final EffectSink effects;
   private final MemberTable table;
@@ -65,7 +48,9 @@
   private final ReachabilityMonitor reachability = new ReachabilityMonitor();
   private final RumourQueue rumours = new RumourQueue();
   private final ViewConfirmation view = new ViewConfirmation();
-  private final HeartbeatSendTimes sendTimes = new HeartbeatSendTimes();
+  private final HeartbeatSender heartbeats;
+  private final HeartbeatReceiver heartbeatReceiver;
+  private final RosterPublisher publisher;
   private final RosterSync sync;
   private final LogRegistration logRegistration;
   private final PeerDiscovery discovery;
@@ -74,19 +59,10 @@
   private Optional<TargetState> target = Optional.empty();
   private boolean leaving;
   private boolean started;
-  private long configVersionSent;
-  private long nextHeartbeatNanos;
   private long nextDiscoveryNanos;
   private long neighboursRevision = -1;
   private int neighboursPerSide;
 
-  private Roster roster;
-  private boolean routingChanged;
-  private boolean limitChanged;
-  private boolean publishedConfirmed;
-  private long publishedRevision = -1;
-  private long publishedAtNanos;
-
   /**
    * Creates a controller whose roster holds only this daemon.
    *
@@ -103,20 +79,34 @@
       RandomGenerator random,
       EffectSink effects) {
     this.self = self;
-    this.config = config;
     this.random = random;
     this.effects = effects;
     this.table = new MemberTable(self);
+    this.heartbeats = new HeartbeatSender(table, view, config, effects);
+    this.publisher = new RosterPublisher(self, table, view, effects);
     this.sync = new RosterSync(table, rumours, view, this::send);
     this.logRegistration = new LogRegistration(self, random, effects);
     this.discovery = new PeerDiscovery(seeds, random);
     this.duplicateHosts = new DuplicateHostDetector(self.id(), effects);
-    this.roster = Roster.of(self.id(), List.of(self));
+    this.heartbeatReceiver =
+        new HeartbeatReceiver(
+            new HeartbeatReceiver.Dependencies(
+                table,
+                view,
+                neighbours,
+                reachability,
+                rumours,
+                sync,
+                heartbeats,
+                publisher,
+                duplicateHosts,
+                config,
+                effects));
   }
 
   /** Returns the live members that this daemon can reach, as last published, itself included. */
   public Roster roster() {
-    return roster;
+    return publisher.published();
   }
 
   /**
@@ -147,11 +137,11 @@
     boolean onlyLimit = withoutLimit(target).equals(withoutLimit(state));
     target = state;
     if (onlyLimit) {
-      limitChanged |= table.own().refreshLimit(describeSelf());
+      publisher.recordLimitChange(table.own().refreshLimit(describeSelf()));
     } else {
       announceSelf(0);
     }
-    publish(nowNanos);
+    publisher.publish(nowNanos);
   }
 
   /**
@@ -186,13 +176,13 @@
       table
           .find(l.peer())
           .filter(MemberEntry::isUnreachable)
-          .ifPresent(e -> probe(e.id(), nowNanos));
+          .ifPresent(e -> heartbeats.probe(e.id(), nowNanos));
     } else if (event instanceof Event.ProcessResumed) {
       onResumed(nowNanos);
     } else if (event instanceof Event.ShutdownRequested) {
       onStopping(nowNanos);
     }
-    publish(nowNanos);
+    publisher.publish(nowNanos);
   }
 
   @Override
@@ -222,10 +212,10 @@
 
   private void start(long nowNanos) {
     started = true;
-    view.invalidate(sendTimes.nextSequence(), nowNanos);
-    nextHeartbeatNanos = nowNanos + random.nextLong(HEARTBEAT_INTERVAL_NANOS);
+    view.invalidate(heartbeats.nextSequence(), nowNanos);
+    heartbeats.start(nowNanos, random::nextLong);
     nextDiscoveryNanos = nowNanos;
-    publishedAtNanos = nowNanos;
+    publisher.start(nowNanos);
   }
 
   private Member describeSelf() {
@@ -240,24 +230,21 @@
   private void tick(long nowNanos) {
     table.expire(nowNanos);
     updateNeighbours(nowNanos);
-    neighbours.tick(nowNanos, id -> probe(id, nowNanos), id -> suspect(id, nowNanos));
+    neighbours.tick(nowNanos, id -> heartbeats.probe(id, nowNanos), id -> suspect(id, nowNanos));
     reachability.tick(
         nowNanos,
         id -> table.find(id).isPresent(),
-        id -> probe(id, nowNanos),
+        id -> heartbeats.probe(id, nowNanos),
         id -> setUnreachable(id, nowNanos));
     if (view.isConfirmed() && neighbours.isIsolated(nowNanos)) {
-      view.invalidate(sendTimes.nextSequence(), nowNanos);
+      view.invalidate(heartbeats.nextSequence(), nowNanos);
     }
     if (view.tick(nowNanos)) {
       probeToConfirmView(nowNanos);
     }
     discoverPeers(nowNanos);
     logRegistration.tick(nowNanos);
-    if (nowNanos - nextHeartbeatNanos >= 0 || config.version() != configVersionSent) {
-      nextHeartbeatNanos = nowNanos + HEARTBEAT_INTERVAL_NANOS;
-      sendHeartbeats(nowNanos);
-    }
+    heartbeats.tick(neighbours.ids(), nowNanos);
     rumours.flush(neighbours.ids(), this::send);
   }
 
@@ -281,7 +268,7 @@
   }
 
   private void setUnreachable(MemberId id, long nowNanos) {
-    table.find(id).ifPresent(e -> routingChanged |= e.markUnreachable(nowNanos));
+    table.find(id).ifPresent(e -> publisher.recordRoutingChange(e.markUnreachable(nowNanos)));
   }
 
   private void onLinkLost(MemberId id, long nowNanos) {
@@ -301,12 +288,12 @@
   }
 
   private void onResumed(long nowNanos) {
-    view.invalidate(sendTimes.nextSequence(), nowNanos);
+    view.invalidate(heartbeats.nextSequence(), nowNanos);
     neighbours.restartTimeouts(nowNanos);
     reachability.restartTimeouts(nowNanos);
     table.restartSuspicions(nowNanos);
     announceSelf(0);
-    routingChanged = true;
+    publisher.recordRoutingChange(true);
   }
 
   private void announceSelf(long aboveVersion) {
@@ -320,7 +307,7 @@
       ids.add(all.get(random.nextInt(all.size())).id());
     }
     ids.remove(self.id());
-    ids.forEach(id -> probe(id, nowNanos));
+    ids.forEach(id -> heartbeats.probe(id, nowNanos));
   }
 
   private void discoverPeers(long nowNanos) {
@@ -328,53 +315,16 @@
       return;
     }
     nextDiscoveryNanos = nowNanos + DISCOVERY_INTERVAL_NANOS;
-    discovery
-        .chooseAddress(table, nowNanos)
-        .ifPresent(a -> effects.emit(new Effect.SendToAddress(a, heartbeat(0, true, nowNanos))));
-  }
-
-  private void sendHeartbeats(long nowNanos) {
-    configVersionSent = config.version();
-    neighbours.ids().forEach(id -> send(id, heartbeat(id, false, nowNanos)));
-  }
-
-  private Heartbeat heartbeat(MemberId to, boolean replyRequested, long nowNanos) {
-    return heartbeat(
-        table.find(to).map(MemberEntry::highestSequence).orElse(0L), replyRequested, nowNanos);
-  }
-
-  private Heartbeat heartbeat(long acknowledgedSequence, boolean replyRequested, long nowNanos) {
-    return new Heartbeat(
-        table.own().member(),
-        table.own().version(),
-        sendTimes.recordNext(nowNanos),
-        config.version(),
-        view.isConfirmed() ? table.digest().total() : 0,
-        config.configAgeMillis(nowNanos),
-        replyRequested,
-        acknowledgedSequence);
-  }
-
-  private void probe(MemberId id, long nowNanos) {
-    send(id, heartbeat(id, true, nowNanos));
+    discovery.chooseAddress(table, nowNanos).ifPresent(a -> heartbeats.probe(a, nowNanos));
   }
 
   private void send(MemberId id, PeerMessage m) {
     effects.emit(new Effect.Send(id, m));
   }
 
-  /** Sends to a member, by its address if the published roster doesn't hold it yet. */
-  private void reply(Member to, PeerMessage m) {
-    if (roster.find(to.id()).isPresent()) {
-      send(to.id(), m);
-    } else {
-      effects.emit(new Effect.SendToAddress(to.peer(), m));
-    }
-  }
-
   private void onMessage(MemberId from, PeerMessage message, long nowNanos) {
     if (message instanceof Heartbeat h && h.member().id().equals(from)) {
-      onHeartbeat(h, nowNanos);
+      heartbeatReceiver.receive(h, nowNanos);
     } else if (message instanceof Rumours r && r.syncRequestId() != 0) {
       sync.applyReply(r, nowNanos);
     } else if (message instanceof Rumours r) {
@@ -384,99 +334,6 @@
     }
   }
 
-  private void onHeartbeat(Heartbeat h, long nowNanos) {
-    MemberId id = h.member().id();
-    duplicateHosts.checkHeartbeat(h.member(), table.isReplaced(id), nowNanos);
-    if (id.host().equals(self.id().host()) || table.isReplaced(id)) {
-      return;
-    }
-    OptionalLong ackedAgeNanos = sendTimes.ageNanos(h.acknowledgedSequence(), nowNanos);
-    boolean recentAck = ackedAgeNanos.isPresent() && ackedAgeNanos.getAsLong() < RECENT_ACK_NANOS;
-    RosterEntry r = new RosterEntry(h.member(), h.version());
-    if (table.merge(r)) {
-      rumours.add(r);
-    }
-    rumours.markKnown(id, r);
-    table.findTombstone(id).ifPresent(t -> onDeadHeartbeat(t, h, recentAck, nowNanos));
-    table.find(id).ifPresent(e -> onLiveHeartbeat(e, h, recentAck, nowNanos));
-    if (h.replyRequested()) {
-      reply(h.member(), heartbeat(h.sequence(), false, nowNanos));
-    }
-    config.observePeerVersion(id, h.configVersion());
-    ackedAgeNanos.ifPresent(a -> reportConfigAge(h, a, nowNanos));
-    compareDigests(h, recentAck, nowNanos);
-  }
-
-  private void reportConfigAge(Heartbeat h, long ageNanos, long nowNanos) {
-    long ageMillis = h.configAgeMillis() + TimeUnit.NANOSECONDS.toMillis(ageNanos);
-    config.observePeerFreshness(h.member().id(), h.configVersion(), ageMillis, nowNanos);
-  }
-
-  private void onLiveHeartbeat(MemberEntry e, Heartbeat h, boolean recentAck, long nowNanos) {
-    if (e.recordSequence(h.sequence())) {
-      neighbours.recordHeartbeat(e.id(), nowNanos);
-      limitChanged |= h.version() == e.version() && e.refreshLimit(h.member());
-    }
-    if (!recentAck) {
-      return;
-    }
-    long sentAtNanos =
-        nowNanos - sendTimes.ageNanos(h.acknowledgedSequence(), nowNanos).orElseThrow();
-    reachability.recordAck(e.id(), sentAtNanos);
-    routingChanged |= e.recordAck(sentAtNanos);
-    if (view.recordAck(h.acknowledgedSequence())) {
-      routingChanged |= !view.isConfirmed() && !e.isConfirmedIn(view.epoch());
-      e.confirmIn(view.epoch());
-    }
-  }
-
-  /**
-   * Handles a heartbeat of a member declared dead. A recent acknowledgement makes the member live
-   * again; any other heartbeat may be a late message, and is replied to with a probe.
-   */
-  private void onDeadHeartbeat(Tombstone t, Heartbeat h, boolean recentAck, long nowNanos) {
-    if (t.member().leaving()) {
-      return;
-    }
-    if (recentAck) {
-      table.revive(new RosterEntry(h.member(), h.version()));
-    } else {
-      reply(h.member(), heartbeat(h.sequence(), true, nowNanos));
-    }
-    if (nowNanos - t.declaredDeadAtNanos() < t.holdDownNanos()) {
-      // Prompts the member to raise its version, which overrides the death at all other members.
-      List<Suspicion> s = List.of(new Suspicion(t.id(), t.version()));
-      reply(h.member(), new Rumours(List.of(), s, 0, 0));
-    }
-  }
-
-  /**
-   * Compares the sender's roster digest with this daemon's. While the view is unconfirmed, a
-   * heartbeat that acknowledges one of the present epoch confirms it if the digests are equal. If
-   * they differ, requests the sender's entries: at once to confirm the view or if the sender is no
-   * neighbour, otherwise after several mismatches in a row.
-   */
-  private void compareDigests(Heartbeat h, boolean recentAck, long nowNanos) {
-    MemberId id = h.member().id();
-    if (h.rosterDigest() == 0 || table.find(id).isEmpty()) {
-      return;
-    }
-    boolean differs = h.rosterDigest() != table.digest().total();
-    int mismatches = neighbours.countDigestMismatches(id, differs);
-    boolean confirming =
-        !view.isConfirmed() && recentAck && view.recordAck(h.acknowledgedSequence());
-    if (!differs) {
-      if (confirming) {
-        view.confirm();
-      }
-      return;
-    }
-    boolean nonNeighbour = recentAck && !neighbours.contains(id);
-    if (confirming || nonNeighbour || mismatches >= MISMATCHES_BEFORE_SYNC) {
-      sync.request(id, nowNanos);
-    }
-  }
-
   private void onGossip(MemberId from, Rumours r, long nowNanos) {
     for (RosterEntry e : r.entries()) {
       duplicateHosts.checkIncarnation(e.member().id());
@@ -511,37 +368,4 @@
       }
     }
   }
-
-  /**
-   * Publishes a new roster if it has changed: at once if members or their states have changed, at
-   * intervals if only limits of targets have.
-   */
-  private void publish(long nowNanos) {
-    boolean urgent =
-        routingChanged
-            || publishedRevision != table.revision()
-            || publishedConfirmed != view.isConfirmed();
-    boolean limitsDue = limitChanged && nowNanos - publishedAtNanos >= LIMIT_PUBLISH_INTERVAL_NANOS;
-    if (!urgent && !limitsDue) {
-      return;
-    }
-    routingChanged = false;
-    limitChanged = false;
-    publishedRevision = table.revision();
-    publishedConfirmed = view.isConfirmed();
-    publishedAtNanos = nowNanos;
-    roster = Roster.of(self.id(), publishableMembers());
-    effects.emit(new Effect.RaiseEvent(new Event.RosterChanged(roster)));
-  }
-
-  private List<Member> publishableMembers() {
-    return table.live().stream()
-        .filter(e -> e == table.own() || isPublishable(e))
-        .map(MemberEntry::member)
-        .toList();
-  }
-
-  private boolean isPublishable(MemberEntry e) {
-    return !e.isUnreachable() && (view.isConfirmed() || e.isConfirmedIn(view.epoch()));
-  }
 }
