Keep the two admission queues and the reported load in one place each

AdmissionQueues holds the short and the bulk queue; one method builds a load report. Requests that are refused together leave their queues before the first is refused.

--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionController.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionController.java
@@ -1,7 +1,6 @@
 package org.pomelohollow.decision.admission;
 
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.stream.Collectors;
@@ -36,8 +35,7 @@
 
   private final ZoneId zone;
   private final TargetLimit targetLimit;
-  private final AdmissionQueue shortQueue = new AdmissionQueue(this::weight);
-  private final AdmissionQueue bulkQueue = new AdmissionQueue(this::weight);
+  private final AdmissionQueues queues = new AdmissionQueues(this::weight);
   private final SlotAllocator slots = new SlotAllocator();
   private final ServiceTimeEstimator serviceTimes = new ServiceTimeEstimator();
   private final PriorityCutOff cutOff = new PriorityCutOff();
@@ -95,9 +93,9 @@
       refuse(t, ErrorCode.DEADLINE_EXCEEDED, nowNanos);
     } else {
       slots.recordOffer(bulk, nowNanos);
-      queue(t).add(t);
+      queues.of(t).add(t);
       startQueued(nowNanos);
-      shedExcess(queue(t), nowNanos);
+      shedExcess(queues.of(t), nowNanos);
     }
     return t;
   }
@@ -123,7 +121,7 @@
     callGraph.recordEnd(t.context().route());
     slots.release(t.isBulk());
     long heldNanos = nowNanos - t.startedNanos();
-    queue(t).correctCharge(t, heldNanos);
+    queues.of(t).correctCharge(t, heldNanos);
     if (completion == Completion.RESPONDED) {
       serviceTimes.addSample(t.context().route(), heldNanos);
     }
@@ -141,7 +139,7 @@
    */
   public void cancel(Ticket t) {
     if (t.isQueued()) {
-      queue(t).remove(t);
+      queues.of(t).remove(t);
       t.end();
     }
   }
@@ -171,11 +169,7 @@
    * @return the load
    */
   public TargetLoad load(String route) {
-    return new TargetLoad(
-        targetLimit.advertisedLimit(latestNanos),
-        inFlight(),
-        queued(),
-        cutOff.current(),
+    return load(
         settings.reportsPressure()
             ? Math.max(pressure.value(), callGraph.pressure(route, latestNanos))
             : 0);
@@ -183,12 +177,16 @@
 
   /** Returns the load of the target alone, without the pressure of the targets that it calls. */
   public TargetLoad load() {
+    return load(settings.reportsPressure() ? pressure.value() : 0);
+  }
+
+  private TargetLoad load(double pressureToReport) {
     return new TargetLoad(
         targetLimit.advertisedLimit(latestNanos),
         inFlight(),
-        queued(),
+        queues.size(),
         cutOff.current(),
-        settings.reportsPressure() ? pressure.value() : 0);
+        pressureToReport);
   }
 
   /**
@@ -211,10 +209,6 @@
     callGraph.recordLoad(calledRoute, load, nowNanos);
   }
 
-  private int queued() {
-    return shortQueue.size() + bulkQueue.size();
-  }
-
   /** Returns the state of the target to send to peers, or empty without a target. */
   public Optional<TargetState> targetState() {
     return targetLimit.state(draining || stopping, latestNanos);
@@ -257,8 +251,8 @@
         .line("limit", targetLimit.limit())
         .line("in flight", inFlight())
         .line("large transfers in flight", slots.bulkInFlight())
-        .line("queued calls", shortQueue.size())
-        .line("queued large transfers", bulkQueue.size())
+        .line("queued calls", queues.shortSize())
+        .line("queued large transfers", queues.bulkSize())
         .line("cut-off rank", cutOff.current().rank())
         .line("pressure", pressure.value())
         .line("calls", callGraph)
@@ -297,11 +291,7 @@
   private void advanceTo(long nowNanos) {
     latestNanos = nowNanos;
     cutOff.update(targetLimit.limit(), inFlight(), nowNanos);
-    pressure.update(inFlight() + queued(), targetLimit.limit(), nowNanos);
-  }
-
-  private AdmissionQueue queue(Ticket t) {
-    return t.isBulk() ? bulkQueue : shortQueue;
+    pressure.update(inFlight() + queues.size(), targetLimit.limit(), nowNanos);
   }
 
   private void startQueued(long nowNanos) {
@@ -316,7 +306,7 @@
     } finally {
       startingQueued = false;
     }
-    if (shortQueue.size() == 0) {
+    if (queues.shortSize() == 0) {
       overload.recordEmptyQueue(nowNanos);
     }
   }
@@ -325,11 +315,11 @@
     if (!targetLimit.mayStart(nowNanos)) {
       return Optional.empty();
     }
-    return slots.choose(shortQueue.peek(), bulkQueue.peek(), targetLimit.limit(), nowNanos);
+    return slots.choose(queues.peekShort(), queues.peekBulk(), targetLimit.limit(), nowNanos);
   }
 
   private void startOrRefuse(Ticket t, long nowNanos) {
-    queue(t).poll();
+    queues.of(t).poll();
     if (!serviceTimes.canFinish(t.context(), nowNanos)) {
       refuse(t, ErrorCode.DEADLINE_EXCEEDED, nowNanos);
       return;
@@ -354,13 +344,13 @@
 
   private void tick(long nowNanos) {
     long queueBoundNanos = overload.waitBoundNanos(nowNanos);
-    shortQueue
-        .removeIf(t -> nowNanos - t.arrivedNanos() > waitBoundNanos(t, queueBoundNanos))
+    queues
+        .removeShortIf(t -> nowNanos - t.arrivedNanos() > waitBoundNanos(t, queueBoundNanos))
         .forEach(t -> shed(t, nowNanos));
-    refuseExpired(shortQueue, nowNanos);
-    refuseExpired(bulkQueue, nowNanos);
-    shortQueue.removeIdleAccounts();
-    bulkQueue.removeIdleAccounts();
+    queues
+        .removeIf(t -> t.context().remainingNanos(nowNanos) <= 0)
+        .forEach(t -> refuse(t, ErrorCode.DEADLINE_EXCEEDED, nowNanos));
+    queues.removeIdleAccounts();
     long slow =
         running.values().stream()
             .filter(t -> t.targetEpoch() == targetLimit.epoch() && !t.isBulk())
@@ -377,15 +367,8 @@
         .boundNanos(Optional.ofNullable(routesByName.get(t.context().route())), queueBoundNanos);
   }
 
-  private void refuseExpired(AdmissionQueue q, long nowNanos) {
-    q.removeIf(t -> t.context().remainingNanos(nowNanos) <= 0)
-        .forEach(t -> refuse(t, ErrorCode.DEADLINE_EXCEEDED, nowNanos));
-  }
-
   private void refuseAll(ErrorCode code, long nowNanos) {
-    for (AdmissionQueue q : List.of(shortQueue, bulkQueue)) {
-      q.removeIf(t -> true).forEach(t -> refuse(t, code, nowNanos));
-    }
+    queues.removeIf(t -> true).forEach(t -> refuse(t, code, nowNanos));
   }
 
   private void shed(Ticket t, long nowNanos) {
