--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/document/TomlReader.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/document/TomlReader.java
@@ -1,7 +1,5 @@
 package org.pomelohollow.document;
 
-import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Function;
@@ -69,23 +67,20 @@
 
   private static <T> ParseResult<T> build(
       String file, TomlParseResult result, Function<TomlSection, Optional<T>> construction) {
-    List<Problem> problems = new ArrayList<>();
-    result.errors().stream()
-        .limit(TomlSection.MAX_PROBLEMS)
-        .forEach(e -> problems.add(syntaxProblem(file, e)));
-    if (!problems.isEmpty()) {
-      return new ParseResult<>(Optional.empty(), problems);
+    TomlProblems problems = new TomlProblems(file);
+    result.errors().forEach(e -> addSyntaxProblem(problems, e));
+    if (problems.count() > 0) {
+      return new ParseResult<>(Optional.empty(), problems.inOrder());
     }
-    Optional<T> value = construction.apply(new TomlSection(file, "", 0, result, problems));
-    problems.sort(Comparator.comparingInt(Problem::line));
-    return new ParseResult<>(problems.isEmpty() ? value : Optional.empty(), problems);
+    Optional<T> value = construction.apply(new TomlSection("", 0, result, problems));
+    return new ParseResult<>(problems.count() == 0 ? value : Optional.empty(), problems.inOrder());
   }
 
-  private static Problem syntaxProblem(String file, TomlParseError e) {
+  private static void addSyntaxProblem(TomlProblems problems, TomlParseError e) {
     String message = String.valueOf(e.getMessage());
     boolean duplicate = message.contains("previously defined") || message.contains("already");
     ErrorCode code = duplicate ? ErrorCode.DOCUMENT_DUPLICATE : ErrorCode.TOML_SYNTAX;
-    return new Problem(file, "", e.position().line(), code, TomlSection.truncate(message));
+    problems.add("", e.position().line(), code, message);
   }
 
   private static <T> ParseResult<T> failure(Problem p) {
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/document/TomlSection.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/document/TomlSection.java
@@ -20,21 +20,13 @@
  * reports the keys that no getter was called for.
  */
 public final class TomlSection {
-  /** Maximum number of problems that are kept for one file; further ones are dropped. */
-  static final int MAX_PROBLEMS = 1_000;
-
-  /** Maximum length of a key or message in a problem, in characters. */
-  private static final int MAX_TEXT_LENGTH = 200;
-
-  private final String file;
   private final String path;
   private final int line;
   private final TomlTable table;
-  private final List<Problem> problems;
+  private final TomlProblems problems;
   private final Set<String> requestedKeys = new LinkedHashSet<>();
 
-  TomlSection(String file, String path, int line, TomlTable table, List<Problem> problems) {
-    this.file = file;
+  TomlSection(String path, int line, TomlTable table, TomlProblems problems) {
     this.path = path;
     this.line = line;
     this.table = table;
@@ -201,7 +193,7 @@
         report(
             key,
             ErrorCode.TOML_WRONG_TYPE,
-            "contains " + truncate(String.valueOf(o)) + ", which is not a string");
+            "contains " + TomlProblems.truncate(String.valueOf(o)) + ", which is not a string");
       }
     }
     return out;
@@ -299,27 +291,19 @@
   }
 
   /**
-   * Reports a problem, unless the file already has {@value #MAX_PROBLEMS}.
+   * Reports a problem.
    *
    * @param key key in this table, empty for the table itself
    * @param code stable error code
    * @param message what is wrong
    */
   public void report(String key, ErrorCode code, String message) {
-    if (problems.size() < MAX_PROBLEMS) {
-      problems.add(
-          new Problem(file, truncate(dottedKey(key)), lineOf(key), code, truncate(message)));
-    }
+    problems.add(dottedKey(key), lineOf(key), code, message);
   }
 
   /** Returns the number of problems reported so far for the whole file. */
   public int problemCount() {
-    return problems.size();
-  }
-
-  /** Shortens a text to the maximum length of a message. */
-  static String truncate(String s) {
-    return s.length() <= MAX_TEXT_LENGTH ? s : s.substring(0, MAX_TEXT_LENGTH) + "...";
+    return problems.count();
   }
 
   private <T> List<T> firstOf(String key, List<T> all, int max) {
@@ -336,7 +320,7 @@
           key,
           ErrorCode.TOML_OUT_OF_RANGE,
           "name \""
-              + truncate(name)
+              + TomlProblems.truncate(name)
               + "\" is not 1 to "
               + Names.MAX_LENGTH
               + " ASCII letters, digits, dots, - and _");
@@ -346,7 +330,7 @@
   }
 
   private TomlSection child(String key, TomlTable t, int childLine) {
-    return new TomlSection(file, dottedKey(key), childLine, t, problems);
+    return new TomlSection(dottedKey(key), childLine, t, problems);
   }
 
   private boolean checkRange(String key, long v, long min, long max) {
