--- a/org.pomelohollow.junit/src/main/java/org/pomelohollow/junit/MembershipSimulation.java
+++ b/org.pomelohollow.junit/src/main/java/org/pomelohollow/junit/MembershipSimulation.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
 import java.util.function.BiConsumer;
@@ -17,9 +16,7 @@
 import java.util.stream.IntStream;
 import org.pomelohollow.decision.Effect;
 import org.pomelohollow.decision.Event;
-import org.pomelohollow.message.LogStream;
 import org.pomelohollow.message.PeerMessage;
-import org.pomelohollow.message.StoredEntry;
 import org.pomelohollow.model.Endpoint;
 import org.pomelohollow.model.Member;
 import org.pomelohollow.model.MemberId;
@@ -45,17 +42,13 @@
   private final int services;
   private final List<SimulatedMember> daemons = new ArrayList<>();
   private final Map<Endpoint, Integer> byEndpoint = new HashMap<>();
-  private final PriorityQueue<ScheduledAction> queue = new PriorityQueue<>();
-  private final List<StoredEntry> log = new ArrayList<>();
+  private final VirtualTime time = new VirtualTime();
+  private final SimulatedLog log = new SimulatedLog();
   private BiConsumer<MemberId, PeerMessage> sendListener = (from, m) -> {};
   private NetworkPartition partition = (from, to) -> false;
   private double lossRate;
-  private boolean logAvailable = true;
   private boolean connectionsRefused;
-  private long oldestOffset;
   private long lastIncarnation = 1_000;
-  private long scheduledCount;
-  private long nowNanos = -Duration.ofHours(1).toNanos();
 
   /**
    * Creates a simulation without daemons.
@@ -124,7 +117,7 @@
    * @param k number of the daemon
    */
   public void requestShutdown(int k) {
-    daemons.get(k).handle(new Event.ShutdownRequested(), nowNanos);
+    daemons.get(k).handle(new Event.ShutdownRequested(), nowNanos());
   }
 
   /**
@@ -134,7 +127,7 @@
    * @param draining whether it accepts no new requests
    */
   public void setDraining(int k, boolean draining) {
-    daemons.get(k).setTarget(Optional.of(target(k, draining)), nowNanos);
+    daemons.get(k).setTarget(Optional.of(target(k, draining)), nowNanos());
   }
 
   /**
@@ -144,7 +137,7 @@
    * @param d length of the pause
    */
   public void pause(int k, Duration d) {
-    daemons.get(k).pauseUntil(nowNanos + d.toNanos());
+    daemons.get(k).pauseUntil(nowNanos() + d.toNanos());
   }
 
   /**
@@ -181,12 +174,12 @@
    * @param available whether reads and appends succeed
    */
   public void setLogAvailable(boolean available) {
-    logAvailable = available;
+    log.setAvailable(available);
   }
 
   /** Expires all records of the log, as its retention does. */
   public void expireLog() {
-    oldestOffset = log.size();
+    log.expire();
   }
 
   /**
@@ -204,13 +197,7 @@
    * @param d duration
    */
   public void runFor(Duration d) {
-    long end = nowNanos + d.toNanos();
-    while (!queue.isEmpty() && queue.peek().atNanos <= end) {
-      ScheduledAction a = queue.remove();
-      nowNanos = a.atNanos;
-      a.task.run();
-    }
-    nowNanos = end;
+    time.runFor(d);
   }
 
   /**
@@ -221,10 +208,10 @@
    * @return the duration that passed, or empty if the condition did not hold within the limit
    */
   public Optional<Duration> runUntil(Duration limit, BooleanSupplier condition) {
-    long startNanos = nowNanos;
-    while (nowNanos - startNanos <= limit.toNanos()) {
+    long startNanos = nowNanos();
+    while (nowNanos() - startNanos <= limit.toNanos()) {
       if (condition.getAsBoolean()) {
-        return Optional.of(Duration.ofNanos(nowNanos - startNanos));
+        return Optional.of(Duration.ofNanos(nowNanos() - startNanos));
       }
       runFor(Duration.ofNanos(TICK_PERIOD_NANOS));
     }
@@ -248,7 +235,7 @@
 
   /** Returns the current virtual time, in nanoseconds. */
   public long nowNanos() {
-    return nowNanos;
+    return time.nowNanos();
   }
 
   /**
@@ -325,7 +312,7 @@
     } else if (e instanceof Effect.SendToAddress s) {
       transmit(from, find(s.to()), s.message());
     } else if (e instanceof Effect.Append a) {
-      schedule(LOG_READ_PERIOD_NANOS / 2, () -> append(from, a));
+      time.schedule(LOG_READ_PERIOD_NANOS / 2, () -> append(from, a));
     }
   }
 
@@ -338,8 +325,8 @@
   }
 
   private void scheduleTicksAndLogReads(SimulatedMember d) {
-    schedule(random.nextLong(TICK_PERIOD_NANOS), () -> tick(d));
-    schedule(random.nextLong(LOG_READ_PERIOD_NANOS), () -> readLog(d));
+    time.schedule(random.nextLong(TICK_PERIOD_NANOS), () -> tick(d));
+    time.schedule(random.nextLong(LOG_READ_PERIOD_NANOS), () -> readLog(d));
   }
 
   private Member newMember(int k, long incarnation) {
@@ -361,8 +348,8 @@
 
   private void tick(SimulatedMember d) {
     if (d.isRunning()) {
-      d.deliver(new Event.Tick(), nowNanos);
-      schedule(TICK_PERIOD_NANOS, () -> tick(d));
+      d.deliver(new Event.Tick(), nowNanos());
+      time.schedule(TICK_PERIOD_NANOS, () -> tick(d));
     }
   }
 
@@ -370,26 +357,12 @@
     if (!d.isRunning()) {
       return;
     }
-    schedule(LOG_READ_PERIOD_NANOS, () -> readLog(d));
-    if (!logAvailable) {
-      d.deliver(new Event.LogReadFailed(LogStream.MEMBERS), nowNanos);
-      return;
-    }
-    long from = Math.max(d.nextOffset(), oldestOffset);
-    List<StoredEntry> entries = log.subList((int) from, log.size());
-    d.setNextOffset(log.size());
-    d.deliver(
-        new Event.LogRead(LogStream.MEMBERS, from, entries, oldestOffset, log.size()), nowNanos);
+    time.schedule(LOG_READ_PERIOD_NANOS, () -> readLog(d));
+    d.deliver(log.read(d), nowNanos());
   }
 
   private void append(SimulatedMember from, Effect.Append a) {
-    if (logAvailable) {
-      log.add(new StoredEntry(log.size(), Optional.of(a.entry())));
-    }
-    from.deliver(
-        new Event.AppendCompleted(
-            a.appendId(), logAvailable ? Event.AppendOutcome.APPENDED : Event.AppendOutcome.FAILED),
-        nowNanos);
+    from.deliver(log.append(a), nowNanos());
   }
 
   private void transmit(SimulatedMember from, Optional<SimulatedMember> to, PeerMessage m) {
@@ -400,15 +373,16 @@
     if (!to.get().isRunning()) {
       notifyLinkLost(from, to.get());
     } else if (random.nextDouble() >= lossRate) {
-      schedule(
+      time.schedule(
           MIN_MESSAGE_DELAY_NANOS + random.nextLong(MESSAGE_DELAY_RANGE_NANOS),
-          () -> to.get().deliver(new Event.MessageReceived(from.id(), m), nowNanos));
+          () -> to.get().deliver(new Event.MessageReceived(from.id(), m), nowNanos()));
     }
   }
 
   private void notifyLinkLost(SimulatedMember from, SimulatedMember to) {
     if (connectionsRefused) {
-      schedule(MIN_MESSAGE_DELAY_NANOS, () -> from.deliver(new Event.LinkLost(to.id()), nowNanos));
+      time.schedule(
+          MIN_MESSAGE_DELAY_NANOS, () -> from.deliver(new Event.LinkLost(to.id()), nowNanos()));
     }
   }
 
@@ -420,18 +394,4 @@
   private Optional<SimulatedMember> find(Endpoint e) {
     return Optional.ofNullable(byEndpoint.get(e)).map(daemons::get);
   }
-
-  private void schedule(long delayNanos, Runnable task) {
-    queue.add(new ScheduledAction(nowNanos + delayNanos, scheduledCount++, task));
-  }
-
-  /** Action that is due at a time; among equal times the sequence number decides. */
-  private record ScheduledAction(long atNanos, long sequence, Runnable task)
-      implements Comparable<ScheduledAction> {
-    @Override
-    public int compareTo(ScheduledAction o) {
-      int byTime = Long.compare(atNanos, o.atNanos);
-      return byTime != 0 ? byTime : Long.compare(sequence, o.sequence);
-    }
-  }
 }
