--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/Daemon.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/Daemon.java
@@ -6,7 +6,6 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
 import org.pomelohollow.daemon.internal.call.AttemptHandler;
 import org.pomelohollow.daemon.internal.call.LocalAttemptHandler;
@@ -49,23 +48,7 @@
 public final class Daemon implements AutoCloseable {
   private static final Duration TICK_INTERVAL = Duration.ofMillis(50);
   private static final Duration LIVENESS_CHECK_INTERVAL = Duration.ofSeconds(1);
-  private static final Duration DEFAULT_ACCEPT_PERIOD = Duration.ofMillis(1_500);
 
-  /**
-   * Share of the platform's grace during which new connections are still accepted after a shutdown
-   * has begun. The platform notices a daemon that is no longer ready within 2 s of a grace of 6 s.
-   */
-  private static final int ACCEPT_PERCENT_OF_GRACE = 45;
-
-  /**
-   * Share of the platform's grace for sending the final messages to peers. Together with the time
-   * of accepting connections and the time to drain it stays within the grace.
-   */
-  private static final int FINAL_MESSAGES_PERCENT_OF_GRACE = 5;
-
-  private static final Duration HANDOVER_TIMEOUT = Duration.ofSeconds(5);
-  private static final Duration DEFAULT_FINAL_MESSAGES_PERIOD = Duration.ofSeconds(1);
-  private static final Duration DRAIN_POLL_INTERVAL = Duration.ofMillis(20);
   private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(5);
 
   private final Settings settings;
@@ -189,32 +172,7 @@
    * @return completes when the daemon has closed
    */
   public Mono<Void> shutdown() {
-    return Mono.<Void>fromRunnable(this::beginShutdown)
-        .subscribeOn(loop)
-        .then(Mono.delay(acceptPeriod(), loop))
-        .then(Mono.fromRunnable(callerServer::drain))
-        .then(whenTrue(this::isDrained).timeout(settings.limits().drainTimeout(), Mono.empty()))
-        .then(whenTrue(node.claims()::canLeave).timeout(HANDOVER_TIMEOUT, Mono.empty()))
-        .then(Mono.delay(finalMessagesPeriod(), loop))
-        .then(Mono.fromRunnable(this::close).subscribeOn(Schedulers.boundedElastic()))
-        .then();
-  }
-
-  /**
-   * Returns how long new connections are accepted after a shutdown has begun, so that callers learn
-   * to use another daemon.
-   */
-  private Duration acceptPeriod() {
-    return percentOfGrace(ACCEPT_PERCENT_OF_GRACE).orElse(DEFAULT_ACCEPT_PERIOD);
-  }
-
-  /** Returns how long the daemon waits before it closes, so that its final messages are sent. */
-  private Duration finalMessagesPeriod() {
-    return percentOfGrace(FINAL_MESSAGES_PERCENT_OF_GRACE).orElse(DEFAULT_FINAL_MESSAGES_PERIOD);
-  }
-
-  private Optional<Duration> percentOfGrace(int percent) {
-    return settings.platform().map(p -> p.grace().multipliedBy(percent).dividedBy(100));
+    return new GracefulShutdown(settings, loop, new ShutdownSteps()).run();
   }
 
   /** Closes the daemon at once and aborts running requests. */
@@ -322,26 +280,6 @@
     node.handle(e);
   }
 
-  private void beginShutdown() {
-    Logger.info(
-        "daemon: shutting down, {} requests running", entry.count() + runningRequests.count());
-    shuttingDown = true;
-    handle(new Event.ShutdownRequested());
-  }
-
-  private boolean isDrained() {
-    return entry.count() + runningRequests.count() == 0;
-  }
-
-  /** Polls a condition on the event loop and completes when it holds. */
-  private Mono<Void> whenTrue(BooleanSupplier condition) {
-    return Mono.fromSupplier(condition::getAsBoolean)
-        .subscribeOn(loop)
-        .filter(done -> done)
-        .repeatWhenEmpty(n -> n.delayElements(DRAIN_POLL_INTERVAL, loop))
-        .then();
-  }
-
   private void executeEffect(Effect e) {
     if (e instanceof Effect.Send s) {
       links.send(s.to(), s.message());
@@ -374,6 +312,37 @@
     }
   }
 
+  /** Steps of the graceful shutdown. */
+  private final class ShutdownSteps implements GracefulShutdown.Steps {
+    @Override
+    public void begin() {
+      Logger.info(
+          "daemon: shutting down, {} requests running", entry.count() + runningRequests.count());
+      shuttingDown = true;
+      handle(new Event.ShutdownRequested());
+    }
+
+    @Override
+    public void stopAccepting() {
+      callerServer.drain();
+    }
+
+    @Override
+    public boolean isDrained() {
+      return entry.count() + runningRequests.count() == 0;
+    }
+
+    @Override
+    public boolean isHandedOver() {
+      return node.claims().canLeave();
+    }
+
+    @Override
+    public void close() {
+      Daemon.this.close();
+    }
+  }
+
   /** Passes link events and peer messages to the node and counts them in the metrics. */
   private final class PeerEvents implements PeerLinkListener {
     @Override
