Let both sides of a stream share their bodies' plumbing; go on with a started response

StreamBodies serves ClientStream and ServerStream. A response that has started cannot be had elsewhere, so it goes on when its link falls silent; SilentLinkTest has the case, which failed before. Tests share RequestContexts.

--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/link/ClientStream.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/link/ClientStream.java
@@ -19,13 +19,7 @@
   private final WireCodec codec;
   private final Flux<ByteBuf> body;
   private final ResponseListener responseListener;
-
-  /** Present while a streamed request body is sent. */
-  private Optional<BodySender> sender = Optional.empty();
-
-  /** Present once the head of a streamed response was received. */
-  private Optional<BodyReceiver> receiver = Optional.empty();
-
+  private final StreamBodies bodies;
   private boolean idempotent;
   private boolean bodyStarted;
   private boolean responseStarted;
@@ -38,18 +32,13 @@
     this.codec = codec;
     this.body = body;
     this.responseListener = responseListener;
+    this.bodies = new StreamBodies(link, id);
   }
 
   void open(AttemptHead head) {
     idempotent = head.idempotent();
     if (head.streamedLength().isPresent()) {
-      sender =
-          Optional.of(
-              new BodySender(
-                  0,
-                  b -> link.send(new Frame(FrameType.DATA, id, 0, b)),
-                  n -> link.send(Frame.of(FrameType.END, id, n)),
-                  this::bodyFailed));
+      bodies.createSender(0, n -> link.send(Frame.of(FrameType.END, id, n)), this::bodyFailed);
     }
     link.send(Frame.of(FrameType.ATTEMPT, id, codec.encode(head)));
   }
@@ -61,7 +50,7 @@
     }
     close();
     link.send(Frame.of(FrameType.RESET, id, 0));
-    receiver.ifPresent(BodyReceiver::fail);
+    bodies.failReceived();
   }
 
   @Override
@@ -71,9 +60,9 @@
       case RESPONSE_HEAD -> receiveResponseHead(codec.decode(ResponseHead.class, f.takeBytes()));
       case FULL_RESPONSE -> receiveFullResponse(f);
       case FAILURE -> receiveFailure(codec.decode(AttemptFailure.class, f.takeBytes()));
-      case DATA -> receiverOf(f).receive(f.payload());
+      case DATA -> bodies.receiverFor(f).receive(f.payload());
       case END -> {
-        BodyReceiver r = receiverOf(f);
+        BodyReceiver r = bodies.receiverFor(f);
         f.payload().release();
         close();
         r.end(f.number());
@@ -93,7 +82,7 @@
     }
     close();
     if (responseStarted) {
-      receiver.ifPresent(BodyReceiver::fail);
+      bodies.failReceived();
     } else {
       responseListener.failed(new Verdict.MayHaveRun(ErrorCode.CONNECTION_LOST), Optional.empty());
     }
@@ -101,37 +90,26 @@
 
   @Override
   public void linkSilent() {
-    if (idempotent) {
+    if (idempotent && !responseStarted) {
       link.send(Frame.of(FrameType.RESET, id, 0));
       linkLost();
     }
   }
 
   private void receiveCredit(Frame f) {
-    if (sender.isEmpty()) {
-      link.rejectFrame(f);
-    }
+    BodySender s = bodies.senderFor(f);
     f.payload().release();
-    sender.orElseThrow().addCredit(f.number());
+    s.addCredit(f.number());
     if (!bodyStarted) {
       bodyStarted = true;
-      body.subscribe(sender.orElseThrow());
-    }
-  }
-
-  /** Returns the receiver of the response body; rejects a frame that precedes the head. */
-  private BodyReceiver receiverOf(Frame f) {
-    if (receiver.isEmpty()) {
-      link.rejectFrame(f);
+      body.subscribe(s);
     }
-    return receiver.orElseThrow();
   }
 
   private void receiveResponseHead(ResponseHead head) {
     if (!responseStarted) {
       responseStarted = true;
-      BodyReceiver r = new BodyReceiver(false, n -> link.send(Frame.of(FrameType.CREDIT, id, n)));
-      receiver = Optional.of(r);
+      BodyReceiver r = bodies.createReceiver(false);
       responseListener.responseStarted(head, r.flux().doOnCancel(this::cancel));
     }
   }
@@ -162,7 +140,7 @@
       close();
       link.send(Frame.of(FrameType.RESET, id, 0));
       if (responseStarted) {
-        receiver.ifPresent(BodyReceiver::fail);
+        bodies.failReceived();
       } else {
         responseListener.failed(new Verdict.MayHaveRun(ErrorCode.CANCELLED), Optional.empty());
       }
@@ -172,6 +150,6 @@
   private void close() {
     ended = true;
     link.removeStream(id);
-    sender.ifPresent(BodySender::cancel);
+    bodies.cancelSending();
   }
 }
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/link/ServerStream.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/link/ServerStream.java
@@ -18,13 +18,7 @@
   private final Link link;
   private final long id;
   private final WireCodec codec;
-
-  /** Present once a streamed response has started. */
-  private Optional<BodySender> sender = Optional.empty();
-
-  /** Present if the request body is streamed. */
-  private Optional<BodyReceiver> receiver = Optional.empty();
-
+  private final StreamBodies bodies;
   private Runnable cancelAttempt = () -> {};
   private boolean ended;
 
@@ -32,27 +26,26 @@
     this.link = link;
     this.id = id;
     this.codec = codec;
+    this.bodies = new StreamBodies(link, id);
   }
 
   void start(AttemptHead head, AttemptHandler handler) {
-    if (head.streamedLength().isPresent()) {
-      receiver =
-          Optional.of(new BodyReceiver(true, n -> link.send(Frame.of(FrameType.CREDIT, id, n))));
-    }
-    cancelAttempt =
-        handler.startAttempt(head, receiver.map(BodyReceiver::flux).orElse(Flux.empty()), this);
+    Flux<ByteBuf> body =
+        head.streamedLength().isPresent() ? bodies.createReceiver(true).flux() : Flux.empty();
+    cancelAttempt = handler.startAttempt(head, body, this);
   }
 
   @Override
   public void receive(Frame f) {
     switch (f.type()) {
       case CREDIT -> {
+        BodySender s = bodies.senderFor(f);
         f.payload().release();
-        sender.ifPresent(s -> s.addCredit(f.number()));
+        s.addCredit(f.number());
       }
-      case DATA -> receiverOf(f).receive(f.payload());
+      case DATA -> bodies.receiverFor(f).receive(f.payload());
       case END -> {
-        BodyReceiver r = receiverOf(f);
+        BodyReceiver r = bodies.receiverFor(f);
         f.payload().release();
         r.end(f.number());
       }
@@ -68,8 +61,8 @@
   public void linkLost() {
     if (!ended) {
       close();
-      receiver.ifPresent(BodyReceiver::fail);
-      sender.ifPresent(BodySender::cancel);
+      bodies.failReceived();
+      bodies.cancelSending();
       cancelAttempt.run();
     }
   }
@@ -86,12 +79,7 @@
       return;
     }
     BodySender s =
-        new BodySender(
-            BodyReceiver.WINDOW_BYTES,
-            b -> link.send(new Frame(FrameType.DATA, id, 0, b)),
-            this::bodyEnded,
-            this::bodyFailed);
-    sender = Optional.of(s);
+        bodies.createSender(BodyReceiver.WINDOW_BYTES, this::bodyEnded, this::bodyFailed);
     link.send(Frame.of(FrameType.RESPONSE_HEAD, id, codec.encode(head)));
     body.subscribe(s);
   }
@@ -116,14 +104,6 @@
     }
   }
 
-  /** Returns the receiver of the request body; rejects a frame of a body that is not streamed. */
-  private BodyReceiver receiverOf(Frame f) {
-    if (receiver.isEmpty()) {
-      link.rejectFrame(f);
-    }
-    return receiver.orElseThrow();
-  }
-
   private void bodyEnded(long length) {
     if (!ended) {
       close();
--- a/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/internal/call/TargetConnectionTest.java
+++ b/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/internal/call/TargetConnectionTest.java
@@ -16,9 +16,9 @@
 import org.junit.jupiter.api.Test;
 import org.pomelohollow.decision.TargetAnnouncement;
 import org.pomelohollow.errors.ErrorCode;
+import org.pomelohollow.junit.RequestContexts;
 import org.pomelohollow.model.Endpoint;
 import org.pomelohollow.model.HeaderField;
-import org.pomelohollow.model.Priority;
 import org.pomelohollow.model.RequestContext;
 import org.pomelohollow.model.ServiceId;
 import org.pomelohollow.wire.AttemptHead;
@@ -160,20 +160,7 @@
   }
 
   private void send(Optional<Long> streamedLength, Flux<ByteBuf> body, String id) {
-    RequestContext c =
-        new RequestContext(
-            id,
-            id,
-            new ServiceId("s"),
-            "route",
-            Optional.empty(),
-            new Priority(0),
-            Long.MAX_VALUE / 2,
-            true,
-            Optional.empty(),
-            1,
-            0,
-            0);
+    RequestContext c = RequestContexts.of(id, true);
     AttemptHead h =
         AttemptHead.of(
             c,
--- a/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/internal/link/SilentLinkTest.java
+++ b/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/internal/link/SilentLinkTest.java
@@ -15,11 +15,11 @@
 import org.junit.jupiter.api.Test;
 import org.pomelohollow.daemon.internal.call.ResponseListener;
 import org.pomelohollow.daemon.settings.PeerSecret;
+import org.pomelohollow.junit.RequestContexts;
 import org.pomelohollow.message.PeerMessage;
 import org.pomelohollow.model.MemberId;
 import org.pomelohollow.model.Priority;
 import org.pomelohollow.model.RequestContext;
-import org.pomelohollow.model.ServiceId;
 import org.pomelohollow.model.TargetLoad;
 import org.pomelohollow.model.Verdict;
 import org.pomelohollow.wire.AttemptHead;
@@ -67,6 +67,17 @@
     assertTrue(entryChannel.isActive());
   }
 
+  /** A response that has started cannot be had elsewhere. */
+  @Test
+  void aResponseThatHasStartedGoesOn() {
+    running.get(0).responseStarted(new ResponseHead(200, List.of(), LOAD), Flux.never());
+    deliver();
+    entry.checkSilence(System.nanoTime() + SILENCE_NANOS);
+    deliver();
+    assertEquals("started", read.text);
+    assertEquals(List.of(), cancelled);
+  }
+
   @Test
   void theResponseOfAHostThatResumesIsDelivered() {
     entry.checkSilence(System.nanoTime() + SILENCE_NANOS);
@@ -125,20 +136,7 @@
   }
 
   private static AttemptHead head(String id, boolean idempotent) {
-    RequestContext c =
-        new RequestContext(
-            id,
-            id,
-            new ServiceId("s"),
-            "route",
-            Optional.empty(),
-            new Priority(0),
-            Duration.ofHours(1).toNanos(),
-            idempotent,
-            Optional.empty(),
-            1,
-            0,
-            0);
+    RequestContext c = RequestContexts.of(id, idempotent);
     return AttemptHead.of(
         c, 0, false, "GET", "/x", List.of(), Optional.empty(), Bytes.of(new byte[0]));
   }
