--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetExchange.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetExchange.java
@@ -180,7 +180,7 @@
     }
     ended = true;
     Logger.info(
-        "target: {} has no answer: {} ({}, reached {})", context.requestId(), why, code, reached);
+        "target: {} has no response: {} ({}, reached {})", context.requestId(), why, code, reached);
     if (streamedResponse.isPresent()) {
       streamedResponse.get().tryEmitError(truncated());
     } else {
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/log/LogPoller.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/log/LogPoller.java
@@ -15,6 +15,7 @@
 import org.pomelohollow.wire.LogClient;
 import org.pomelohollow.wire.LogSlice;
 import org.pomelohollow.wire.WireCodec;
+import org.tinylog.Logger;
 import reactor.core.Disposable;
 import reactor.core.Disposables;
 import reactor.core.publisher.Mono;
@@ -132,6 +133,9 @@
         slice.records().stream()
             .map(r -> new StoredEntry(r.offset(), codec.decodeEntry(r.content().array())))
             .toList();
+    entries.stream()
+        .filter(e -> e.entry().isEmpty())
+        .forEach(e -> Logger.warn("log: {} has an unreadable record at {}", s, e.offset()));
     if (nextOffsets.get(s) == from) {
       nextOffsets.put(s, entries.isEmpty() ? from : entries.get(entries.size() - 1).offset() + 1);
     }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/membership/HeartbeatReceiver.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/membership/HeartbeatReceiver.java
@@ -142,7 +142,7 @@
   }
 
   /**
-   * What a heartbeat has an effect on.
+   * Collaborators of a receiver.
    *
    * @param table members, this daemon among them
    * @param view whether the members are confirmed
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/membership/RosterPublisher.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/membership/RosterPublisher.java
@@ -48,7 +48,7 @@
     return published;
   }
 
-  /** Counts the interval of limits from a point in time, when the daemon starts. */
+  /** Starts the interval after which changed limits are published. */
   void start(long nowNanos) {
     publishedAtNanos = nowNanos;
   }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/request/EarlyRefusalFilter.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/request/EarlyRefusalFilter.java
@@ -27,7 +27,10 @@
  * the work already done.
  */
 public final class EarlyRefusalFilter implements Filter, Controller {
+  /** Share of the requests below the cut-off that pass, to notice when targets admit them again. */
   private static final double PROBE_SHARE = 0.02;
+
+  /** Highest share of requests refused for pressure: the others notice when it ends. */
   private static final double MAX_REFUSED_SHARE = 0.96;
 
   /** Mean retry delay given to refused callers; delays are spread by half of it either way. */
