Keep to the request rate that a target names in its responses

Cause: the header was passed on to callers and read by nobody. What a target says of itself reached its daemon through heartbeats only. Class: a signal in the data path that no decision listens to. Ruled out by the logs: a limit that is shared wrongly among entry daemons, since the target's daemon is the only way to it and had no limit at all.

Change: the adapter decodes the header; the target's daemon bounds the requests that it starts with a token bucket that starts empty. The limit ends with a response without one whose request was sent after the limit was last named, since responses overtake each other. A rate of 0 still lets a request pass each 4 s, or the end of the limit would never be heard. Entry daemons keep the last notice of each host's target and send it along, so that a restarted daemon knows it before its first response. The queue's bound, the pressure and the advertised limit follow the rate.

--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/Daemon.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/Daemon.java
@@ -9,6 +9,7 @@
 import java.util.stream.Stream;
 import org.pomelohollow.daemon.internal.call.AttemptHandler;
 import org.pomelohollow.daemon.internal.call.LocalAttemptHandler;
+import org.pomelohollow.daemon.internal.call.NoticeRelay;
 import org.pomelohollow.daemon.internal.call.TargetClient;
 import org.pomelohollow.daemon.internal.call.TargetRequestRegistry;
 import org.pomelohollow.daemon.internal.http.AdminServer;
@@ -25,6 +26,7 @@
 import org.pomelohollow.decision.Event;
 import org.pomelohollow.decision.Node;
 import org.pomelohollow.decision.request.Exchange;
+import org.pomelohollow.decision.routing.TargetNoticeCache;
 import org.pomelohollow.errors.PomelohollowException;
 import org.pomelohollow.message.PeerMessage;
 import org.pomelohollow.model.Endpoint;
@@ -57,6 +59,7 @@
   private final WireCodec codec = new WireCodec();
   private final DaemonMetrics metrics = new DaemonMetrics();
   private final RequestLog requestLog = new RequestLog(this::configVersion);
+  private final TargetNoticeCache notices = new TargetNoticeCache();
   private final TargetRequestRegistry runningRequests = new TargetRequestRegistry();
   private final Deployment deployment;
   private final TargetClient targetClient;
@@ -202,7 +205,11 @@
             this::executeEffect);
     AttemptHandler localTargetSide = targetSide();
     entry.open(
-        node, m -> m.equals(self) ? localTargetSide : (h, b, s) -> links.startAttempt(m, h, b, s));
+        node,
+        m ->
+            m.equals(self)
+                ? localTargetSide
+                : new NoticeRelay(notices, m, (h, b, s) -> links.startAttempt(m, h, b, s)));
     callerServer = startServer(settings.listen().caller(), entry::handleCallerRequest);
     targetServer =
         startServer(
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/LocalAttemptHandler.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/LocalAttemptHandler.java
@@ -6,7 +6,9 @@
 import org.pomelohollow.decision.guard.GuardListener;
 import org.pomelohollow.decision.guard.GuardedRequest;
 import org.pomelohollow.model.RequestContext;
+import org.pomelohollow.model.TargetNotice;
 import org.pomelohollow.wire.AttemptHead;
+import org.tinylog.Logger;
 import reactor.core.publisher.Flux;
 
 /** Runs attempts at the target of this host once its guard admits them. */
@@ -37,6 +39,7 @@
       AttemptHead head, Flux<ByteBuf> body, ResponseListener responseListener) {
     long now = clock.getAsLong();
     RequestContext c = head.context(now);
+    head.notice().ifPresent(n -> adopt(n, c, now));
     TargetAttempt t =
         new TargetAttempt(node, client, running, clock, head, c, body, responseListener);
     GuardListener l = t;
@@ -44,4 +47,10 @@
     t.setGuardedRequest(g);
     return t::cancel;
   }
+
+  private void adopt(TargetNotice n, RequestContext c, long nowNanos) {
+    if (node.admission().notices().adopt(n, nowNanos)) {
+      Logger.info("target: known from the entry daemon of {}: {}", c.requestId(), n);
+    }
+  }
 }
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetAttempt.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetAttempt.java
@@ -15,9 +15,11 @@
 import org.pomelohollow.model.HeaderField;
 import org.pomelohollow.model.RequestContext;
 import org.pomelohollow.model.TargetLoad;
+import org.pomelohollow.model.TargetNotice;
 import org.pomelohollow.model.Verdict;
 import org.pomelohollow.wire.AttemptHead;
 import org.pomelohollow.wire.ResponseHead;
+import org.tinylog.Logger;
 import reactor.core.Disposable;
 import reactor.core.publisher.Flux;
 
@@ -100,10 +102,17 @@
     ended = true;
     byte[] b = Base64.getDecoder().decode(a.body());
     responseListener.responseStarted(
-        new ResponseHead(a.status(), a.headers(), node.admission().load(context.route())),
+        new ResponseHead(a.status(), a.headers(), node.admission().load(context.route()), notice()),
         Flux.just(Unpooled.wrappedBuffer(b)));
   }
 
+  @Override
+  public void headReceived(TargetNotice notice, long sentNanos) {
+    if (node.admission().notices().recordResponse(notice, sentNanos, clock.getAsLong())) {
+      Logger.info("target: says in its response to {}: {}", context.requestId(), notice);
+    }
+  }
+
   @Override
   public void responseStarted(int status, TargetExchangeListener.StreamedResponse response) {
     if (ended) {
@@ -125,7 +134,8 @@
       return;
     }
     responseListener.responseStarted(
-        new ResponseHead(status, response.headers(), node.admission().load(context.route())),
+        new ResponseHead(
+            status, response.headers(), node.admission().load(context.route()), notice()),
         observed.doOnCancel(this::cancel));
   }
 
@@ -145,7 +155,8 @@
       body.release();
     } else {
       responseListener.fullResponseReceived(
-          new ResponseHead(status, headers, node.admission().load(context.route())), body);
+          new ResponseHead(status, headers, node.admission().load(context.route()), notice()),
+          body);
     }
   }
 
@@ -190,6 +201,10 @@
     return guardedRequest.filter(GuardedRequest::recordsResponse).isPresent();
   }
 
+  private Optional<TargetNotice> notice() {
+    return node.admission().notices().current();
+  }
+
   private Optional<TargetLoad> load() {
     return Optional.of(node.admission().load(context.route()));
   }
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetExchange.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetExchange.java
@@ -21,6 +21,8 @@
 import org.pomelohollow.errors.PomelohollowException;
 import org.pomelohollow.model.HeaderField;
 import org.pomelohollow.model.RequestContext;
+import org.pomelohollow.model.TargetIncarnation;
+import org.pomelohollow.model.TargetNotice;
 import org.pomelohollow.wire.AttemptHead;
 import org.tinylog.Logger;
 import reactor.core.publisher.Flux;
@@ -48,6 +50,8 @@
   private Optional<HttpHeaders> requestHeaders = Optional.empty();
   private Optional<HttpResponse> responseHead = Optional.empty();
   private Optional<Sinks.Many<ByteBuf>> streamedResponse = Optional.empty();
+  private TargetIncarnation target = new TargetIncarnation("", 0);
+  private long sentNanos;
   private long unreadBytes;
   private boolean ended;
 
@@ -65,12 +69,14 @@
   }
 
   /** Creates the request to send; a streamed body is sent after it. */
-  HttpRequest createRequest(TargetAnnouncement target, long nowNanos) {
+  HttpRequest createRequest(TargetAnnouncement announcement, long nowNanos) {
+    target = announcement.incarnation();
+    sentNanos = nowNanos;
     HttpRequest r = newRequest();
     HttpHeaders h = r.headers();
     head.headers().forEach(f -> h.add(f.name(), f.value()));
     long remainingMillis = Math.max(1, context.remainingNanos(nowNanos) / NANOS_PER_MILLI);
-    protocol.completeRequest(h, context, remainingMillis, target);
+    protocol.completeRequest(h, context, remainingMillis, announcement);
     if (head.streamedLength().isEmpty()) {
       if (head.body().length() > 0 || h.contains(HttpHeaderNames.CONTENT_LENGTH)) {
         h.set(HttpHeaderNames.CONTENT_LENGTH, Integer.toString(head.body().length()));
@@ -106,6 +112,9 @@
     TargetProtocol.ResponseKind m = protocol.classify(r, requestHeaders.orElseThrow());
     if (m instanceof TargetProtocol.ResponseKind.Valid) {
       responseHead = Optional.of(r);
+      reportNotice(r.headers());
+    } else if (m instanceof TargetProtocol.ResponseKind.NotRun) {
+      reportNotice(r.headers());
     }
     return m;
   }
@@ -188,6 +197,12 @@
     }
   }
 
+  private void reportNotice(HttpHeaders h) {
+    if (!ended) {
+      listener.headReceived(new TargetNotice(target, protocol.requestsPerSecond(h)), sentNanos);
+    }
+  }
+
   private HttpRequest newRequest() {
     HttpMethod m = HttpMethod.valueOf(head.method());
     if (head.streamedLength().isPresent()) {
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetExchangeListener.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetExchangeListener.java
@@ -4,10 +4,20 @@
 import java.util.List;
 import org.pomelohollow.errors.ErrorCode;
 import org.pomelohollow.model.HeaderField;
+import org.pomelohollow.model.TargetNotice;
 import reactor.core.publisher.Flux;
 
 /** Receives the outcome of one HTTP exchange with the target. */
 public interface TargetExchangeListener {
+  /**
+   * The head of a response has arrived, which may also say that the request has not run. Called
+   * before the other methods.
+   *
+   * @param notice what the target says of itself in the head
+   * @param sentNanos monotonic time at which the request was sent, in nanoseconds
+   */
+  void headReceived(TargetNotice notice, long sentNanos);
+
   /**
    * The head of the response has arrived; the body follows as a stream.
    *
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/protocol/TargetProtocol.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/protocol/TargetProtocol.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.List;
+import java.util.Optional;
 import org.pomelohollow.decision.TargetAnnouncement;
 import org.pomelohollow.model.HeaderField;
 import org.pomelohollow.model.RequestContext;
@@ -37,6 +38,16 @@
    */
   List<HeaderField> fieldsForCaller(HttpHeaders h);
 
+  /**
+   * Returns the request rate that the target names in a response.
+   *
+   * @param h header fields as received
+   * @return highest rate of requests that the target accepts, per second; empty if it names none
+   */
+  default Optional<Double> requestsPerSecond(HttpHeaders h) {
+    return Optional.empty();
+  }
+
   /** Kind of a response. */
   sealed interface ResponseKind {
     /** The response belongs to the request. */
--- a/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/internal/call/TargetConnectionTest.java
+++ b/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/internal/call/TargetConnectionTest.java
@@ -21,6 +21,7 @@
 import org.pomelohollow.model.HeaderField;
 import org.pomelohollow.model.RequestContext;
 import org.pomelohollow.model.ServiceId;
+import org.pomelohollow.model.TargetNotice;
 import org.pomelohollow.wire.AttemptHead;
 import org.pomelohollow.wire.Bytes;
 import org.reactivestreams.Subscription;
@@ -191,6 +192,11 @@
     private String outcome = "";
     private Optional<Reader> reader = Optional.empty();
 
+    @Override
+    public void headReceived(TargetNotice notice, long sentNanos) {
+      // The outcome alone is recorded.
+    }
+
     @Override
     public void responseStarted(int status, StreamedResponse response) {
       Reader r = new Reader();
--- a/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/internal/link/SilentLinkTest.java
+++ b/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/internal/link/SilentLinkTest.java
@@ -70,7 +70,9 @@
   /** A response that has started cannot be had elsewhere. */
   @Test
   void aResponseThatHasStartedGoesOn() {
-    running.get(0).responseStarted(new ResponseHead(200, List.of(), LOAD), Flux.never());
+    running
+        .get(0)
+        .responseStarted(new ResponseHead(200, List.of(), LOAD, Optional.empty()), Flux.never());
     deliver();
     entry.checkSilence(System.nanoTime() + SILENCE_NANOS);
     deliver();
@@ -86,7 +88,8 @@
     running
         .get(1)
         .fullResponseReceived(
-            new ResponseHead(200, List.of(), LOAD), Unpooled.wrappedBuffer(new byte[2]));
+            new ResponseHead(200, List.of(), LOAD, Optional.empty()),
+            Unpooled.wrappedBuffer(new byte[2]));
     deliver();
     assertEquals("200", write.text);
     assertTrue(entry.isUp());
@@ -102,7 +105,9 @@
   @Test
   void aSilentLinkWithoutStreamsIsClosed() {
     running.forEach(
-        l -> l.fullResponseReceived(new ResponseHead(200, List.of(), LOAD), Unpooled.EMPTY_BUFFER));
+        l ->
+            l.fullResponseReceived(
+                new ResponseHead(200, List.of(), LOAD, Optional.empty()), Unpooled.EMPTY_BUFFER));
     deliver();
     entry.checkSilence(System.nanoTime() + SILENCE_NANOS);
     assertFalse(entryChannel.isActive());
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/TargetAnnouncement.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/TargetAnnouncement.java
@@ -3,6 +3,7 @@
 import java.util.Objects;
 import org.pomelohollow.model.Endpoint;
 import org.pomelohollow.model.ServiceId;
+import org.pomelohollow.model.TargetIncarnation;
 
 /**
  * Properties that a target reports in every heartbeat to the daemon beside it.
@@ -64,6 +65,11 @@
     this(service, address, instance, slots, connections, 0, cold, 0, reportedLoad);
   }
 
+  /** Returns the identity of the incarnation that announces itself. */
+  public TargetIncarnation incarnation() {
+    return new TargetIncarnation(instance, startedMillis);
+  }
+
   /**
    * Returns whether another announcement comes from the same incarnation of the same target.
    *
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionController.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionController.java
@@ -209,6 +209,11 @@
     callGraph.recordLoad(calledRoute, load, nowNanos);
   }
 
+  /** Returns what the target said of itself in its responses. */
+  public TargetNotices notices() {
+    return targetLimit.notices();
+  }
+
   /** Returns the state of the target to send to peers, or empty without a target. */
   public Optional<TargetState> targetState() {
     return targetLimit.state(draining || stopping, latestNanos);
@@ -249,6 +254,7 @@
         .line("draining", draining || stopping)
         .line("cold", targetLimit.isCold(nowNanos))
         .line("limit", targetLimit.limit())
+        .line("notice", notices().current())
         .line("in flight", inFlight())
         .line("large transfers in flight", slots.bulkInFlight())
         .line("queued calls", queues.shortSize())
@@ -291,7 +297,7 @@
   private void advanceTo(long nowNanos) {
     latestNanos = nowNanos;
     cutOff.update(targetLimit.limit(), inFlight(), nowNanos);
-    pressure.update(inFlight() + queues.size(), targetLimit.limit(), nowNanos);
+    pressure.update(inFlight() + queues.size(), targetLimit.rateBoundLimit(), nowNanos);
   }
 
   private void startQueued(long nowNanos) {
@@ -335,7 +341,7 @@
 
   /** Sheds the requests that would be served last until the queue is within its bound. */
   private void shedExcess(AdmissionQueue q, long nowNanos) {
-    while (q.size() > Math.max(MIN_QUEUE_BOUND, targetLimit.limit())) {
+    while (q.size() > Math.max(MIN_QUEUE_BOUND, targetLimit.rateBoundLimit())) {
       Ticket t = q.last().orElseThrow();
       q.remove(t);
       shed(t, nowNanos);
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/TargetLimit.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/TargetLimit.java
@@ -13,7 +13,8 @@
  * of a cold start, and the adaptive limit.
  *
  * <p>Where the operator states a request rate for cold targets, a cold target is bounded by that
- * rate instead of by a cold-start limit.
+ * rate instead of by a cold-start limit. A target that names a request rate is bounded by that rate
+ * besides.
  */
 final class TargetLimit {
   /** Time between announcements after which the target may have restarted unnoticed. */
@@ -23,6 +24,7 @@
   private final double slotShare;
   private final ColdStartLimit coldStart = new ColdStartLimit();
   private final LatencyJumpDetector latencyJump = new LatencyJumpDetector();
+  private final TargetNotices notices = new TargetNotices();
   private Optional<TargetAnnouncement> announcement = Optional.empty();
   private Optional<Document> document = Optional.empty();
   private Optional<ColdRateLimiter> coldRateLimiter = Optional.empty();
@@ -38,19 +40,26 @@
     return announcement;
   }
 
+  /** Returns what the target said of itself in its responses. */
+  TargetNotices notices() {
+    return notices;
+  }
+
   boolean isCold(long nowNanos) {
     return coldRateLimiter.isPresent()
         ? coldRateLimiter.get().isCold(nowNanos)
         : coldStart.isCold();
   }
 
-  /** Returns whether the request rate of a cold target allows a request to start. */
+  /** Returns whether the request rates of the target allow a request to start. */
   boolean mayStart(long nowNanos) {
-    return coldRateLimiter.isEmpty() || coldRateLimiter.get().mayStart(nowNanos);
+    return notices.requestRate().mayStart(nowNanos)
+        && (coldRateLimiter.isEmpty() || coldRateLimiter.get().mayStart(nowNanos));
   }
 
   /** Records that a request started. */
   void recordStart(long nowNanos) {
+    notices.requestRate().recordStart(nowNanos);
     if (coldRateLimiter.isPresent()) {
       coldRateLimiter.get().recordStart(nowNanos);
     }
@@ -80,12 +89,17 @@
     return coldStart.isCold() ? coldStart.limit() : Math.min(algorithm.limit(), coldStart.limit());
   }
 
-  /** Returns the limit to advertise to peers; that of a cold target reflects its request rate. */
+  /** Returns the number of requests in flight that the named request rate leaves. */
+  int rateBoundLimit() {
+    return notices.requestRate().equivalentLimit(limit());
+  }
+
+  /** Returns the limit to advertise to peers, which reflects the request rates of the target. */
   int advertisedLimit(long nowNanos) {
     if (coldRateLimiter.isPresent() && coldRateLimiter.get().isCold(nowNanos)) {
-      return Math.min(coldRateLimiter.get().equivalentLimit(), limit());
+      return Math.min(coldRateLimiter.get().equivalentLimit(), rateBoundLimit());
     }
-    return limit();
+    return rateBoundLimit();
   }
 
   /**
@@ -113,6 +127,7 @@
     boolean sameIncarnation = announcement.filter(a::isSameIncarnation).isPresent();
     boolean isContinuous =
         sameIncarnation && nowNanos - announcedNanos <= MAX_ANNOUNCEMENT_GAP_NANOS;
+    notices.setTarget(a.incarnation());
     announcement = Optional.of(a);
     announcedNanos = nowNanos;
     updateCeiling();
@@ -150,6 +165,7 @@
   void recordCompletion(Ticket t, LimitAlgorithm.Sample s, long nowNanos) {
     boolean hasLatency =
         s.completion() == Completion.RESPONDED || s.completion() == Completion.TIMED_OUT;
+    notices.requestRate().recordHeld(nowNanos - t.startedNanos());
     if (t.targetEpoch() != coldStart.epoch()) {
       return;
     }
--- a/org.pomelohollow.wire/src/main/java/org/pomelohollow/wire/AttemptCodec.java
+++ b/org.pomelohollow.wire/src/main/java/org/pomelohollow/wire/AttemptCodec.java
@@ -8,7 +8,9 @@
 import org.msgpack.core.MessageUnpacker;
 import org.pomelohollow.model.HeaderField;
 import org.pomelohollow.model.Priority;
+import org.pomelohollow.model.TargetIncarnation;
 import org.pomelohollow.model.TargetLoad;
+import org.pomelohollow.model.TargetNotice;
 
 /**
  * Hand-written MessagePack codecs for the messages of attempts. These messages are encoded and
@@ -33,6 +35,7 @@
       p.packNil();
     }
     p.packBinaryHeader(h.body().length()).writePayload(h.body().array());
+    packNotice(p, h.notice());
   }
 
   static AttemptHead unpackAttemptHead(MessageUnpacker u) throws IOException {
@@ -54,17 +57,19 @@
         u.unpackString(),
         unpackHeaderFields(u),
         u.tryUnpackNil() ? Optional.empty() : Optional.of(u.unpackLong()),
-        Bytes.of(u.readPayload(u.unpackBinaryHeader())));
+        Bytes.of(u.readPayload(u.unpackBinaryHeader())),
+        unpackNotice(u));
   }
 
   static void pack(MessagePacker p, ResponseHead h) throws IOException {
     p.packInt(h.status());
     packHeaderFields(p, h.headers());
     packLoad(p, h.load());
+    packNotice(p, h.notice());
   }
 
   static ResponseHead unpackResponseHead(MessageUnpacker u) throws IOException {
-    return new ResponseHead(u.unpackInt(), unpackHeaderFields(u), unpackLoad(u));
+    return new ResponseHead(u.unpackInt(), unpackHeaderFields(u), unpackLoad(u), unpackNotice(u));
   }
 
   static void pack(MessagePacker p, AttemptFailure f) throws IOException {
@@ -94,6 +99,30 @@
         u.unpackInt(), u.unpackInt(), u.unpackInt(), new Priority(u.unpackInt()), u.unpackDouble());
   }
 
+  private static void packNotice(MessagePacker p, Optional<TargetNotice> notice)
+      throws IOException {
+    if (notice.isEmpty()) {
+      p.packNil();
+      return;
+    }
+    TargetNotice n = notice.get();
+    p.packString(n.target().instance()).packLong(n.target().startedMillis());
+    if (n.requestsPerSecond().isPresent()) {
+      p.packDouble(n.requestsPerSecond().get());
+    } else {
+      p.packNil();
+    }
+  }
+
+  private static Optional<TargetNotice> unpackNotice(MessageUnpacker u) throws IOException {
+    if (u.tryUnpackNil()) {
+      return Optional.empty();
+    }
+    TargetIncarnation t = new TargetIncarnation(u.unpackString(), u.unpackLong());
+    return Optional.of(
+        new TargetNotice(t, u.tryUnpackNil() ? Optional.empty() : Optional.of(u.unpackDouble())));
+  }
+
   private static void packHeaderFields(MessagePacker p, List<HeaderField> fields)
       throws IOException {
     p.packArrayHeader(fields.size());
--- a/org.pomelohollow.wire/src/main/java/org/pomelohollow/wire/AttemptHead.java
+++ b/org.pomelohollow.wire/src/main/java/org/pomelohollow/wire/AttemptHead.java
@@ -9,6 +9,7 @@
 import org.pomelohollow.model.Priority;
 import org.pomelohollow.model.RequestContext;
 import org.pomelohollow.model.ServiceId;
+import org.pomelohollow.model.TargetNotice;
 
 /**
  * First message of a stream: one attempt of a request. Carries the context of the request, in which
@@ -34,6 +35,7 @@
  * @param streamedLength length in bytes of a body that follows in DATA frames, -1 if unknown; empty
  *     if {@code body} is the whole body
  * @param body complete body of a short request; empty if the body follows in DATA frames
+ * @param notice what the entry daemon knows that the target has said of itself
  */
 public record AttemptHead(
     String requestId,
@@ -53,12 +55,14 @@
     String uri,
     List<HeaderField> headers,
     Optional<Long> streamedLength,
-    Bytes body) {
+    Bytes body,
+    Optional<TargetNotice> notice) {
   /** Creates a head with an immutable copy of the header fields. */
   public AttemptHead {
     headers = List.copyOf(headers);
     Objects.requireNonNull(streamedLength, "streamedLength");
     Objects.requireNonNull(body, "body");
+    Objects.requireNonNull(notice, "notice");
   }
 
   /**
@@ -102,7 +106,39 @@
         uri,
         headers,
         streamedLength,
-        body);
+        body,
+        Optional.empty());
+  }
+
+  /**
+   * Returns the same head with a notice.
+   *
+   * @param newNotice what the entry daemon knows that the target has said of itself
+   * @return this head if it has the notice already
+   */
+  public AttemptHead withNotice(Optional<TargetNotice> newNotice) {
+    return notice.equals(newNotice)
+        ? this
+        : new AttemptHead(
+            requestId,
+            rootId,
+            service,
+            route,
+            account,
+            priority,
+            remainingMicros,
+            idempotent,
+            idempotencyKey,
+            fingerprint,
+            retryAllowance,
+            depth,
+            bulk,
+            method,
+            uri,
+            headers,
+            streamedLength,
+            body,
+            newNotice);
   }
 
   /**
