Send nothing to a target that says in its responses that it is leaving

What could happen: a target that leaves names it in all its responses before, or without, a report to its daemon. Requests went on to it until its heartbeat said so; a "ready" heartbeat that arrived late, or a daemon that restarted meanwhile, brought it back.

Cause: as with the request rate, nobody read the header. Same class: a signal in the data path that no decision listens to, and knowledge of a target that is lost when its daemon restarts.

Change: the notice of a target carries it, for good within an incarnation. Its daemon drains at once and tells peers; entry daemons send the notice along with their attempts, and a restarted daemon that learns it refuses.

--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/LocalAttemptHandler.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/LocalAttemptHandler.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import java.util.function.LongSupplier;
+import org.pomelohollow.decision.Event;
 import org.pomelohollow.decision.Node;
 import org.pomelohollow.decision.guard.GuardListener;
 import org.pomelohollow.decision.guard.GuardedRequest;
@@ -51,6 +52,7 @@
   private void adopt(TargetNotice n, RequestContext c, long nowNanos) {
     if (node.admission().notices().adopt(n, nowNanos)) {
       Logger.info("target: known from the entry daemon of {}: {}", c.requestId(), n);
+      node.handle(new Event.TargetNoticeChanged());
     }
   }
 }
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetAttempt.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetAttempt.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.LongSupplier;
+import org.pomelohollow.decision.Event;
 import org.pomelohollow.decision.Node;
 import org.pomelohollow.decision.admission.Completion;
 import org.pomelohollow.decision.guard.GuardListener;
@@ -110,6 +111,7 @@
   public void headReceived(TargetNotice notice, long sentNanos) {
     if (node.admission().notices().recordResponse(notice, sentNanos, clock.getAsLong())) {
       Logger.info("target: says in its response to {}: {}", context.requestId(), notice);
+      node.handle(new Event.TargetNoticeChanged());
     }
   }
 
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetExchange.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetExchange.java
@@ -199,7 +199,9 @@
 
   private void reportNotice(HttpHeaders h) {
     if (!ended) {
-      listener.headReceived(new TargetNotice(target, protocol.requestsPerSecond(h)), sentNanos);
+      listener.headReceived(
+          new TargetNotice(target, protocol.requestsPerSecond(h), protocol.isLeaving(h)),
+          sentNanos);
     }
   }
 
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/protocol/TargetProtocol.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/protocol/TargetProtocol.java
@@ -48,6 +48,16 @@
     return Optional.empty();
   }
 
+  /**
+   * Returns whether the target says in a response that it is about to end.
+   *
+   * @param h header fields as received
+   * @return whether it gets no further requests
+   */
+  default boolean isLeaving(HttpHeaders h) {
+    return false;
+  }
+
   /** Kind of a response. */
   sealed interface ResponseKind {
     /** The response belongs to the request. */
--- a/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/admission/NamedRequestRateTest.java
+++ b/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/admission/NamedRequestRateTest.java
@@ -189,7 +189,9 @@
     TargetAnnouncement a =
         new TargetAnnouncement(
             SERVICE, new Endpoint("10.0.0.1", 1), "i", SLOTS, 1_000, 1, false, 0, 0);
-    admission.notices().recordResponse(new TargetNotice(a.incarnation(), rate), sentNanos, now);
+    admission
+        .notices()
+        .recordResponse(new TargetNotice(a.incarnation(), rate, false), sentNanos, now);
   }
 
   private RequestContext context(String id) {
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/Event.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/Event.java
@@ -102,6 +102,9 @@
    */
   record TargetAnnounced(TargetAnnouncement announcement) implements Event {}
 
+  /** What the target says of itself in its responses has changed. */
+  record TargetNoticeChanged() implements Event {}
+
   /** The target has withdrawn and gets no new requests. */
   record TargetWithdrawn() implements Event {}
 
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionController.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionController.java
@@ -216,7 +216,7 @@
 
   /** Returns the state of the target to send to peers, or empty without a target. */
   public Optional<TargetState> targetState() {
-    return targetLimit.state(draining || stopping, latestNanos);
+    return targetLimit.state(isDraining(), latestNanos);
   }
 
   /** Returns the number of requests at the target. */
@@ -240,7 +240,7 @@
       configure(c.configuration().document(), nowNanos);
     } else if (event instanceof Event.Tick) {
       tick(nowNanos);
-    } else {
+    } else if (!(event instanceof Event.TargetNoticeChanged)) {
       return;
     }
     refusalReason().ifPresent(code -> refuseAll(code, nowNanos));
@@ -251,7 +251,7 @@
   public StateDump dump(long nowNanos) {
     return StateDump.of(PART)
         .line("target", targetLimit.announcement())
-        .line("draining", draining || stopping)
+        .line("draining", isDraining())
         .line("cold", targetLimit.isCold(nowNanos))
         .line("limit", targetLimit.limit())
         .line("notice", notices().current())
@@ -288,12 +288,16 @@
     if (targetLimit.announcement().isEmpty()) {
       return Optional.of(ErrorCode.NO_TARGET);
     }
-    if (draining || stopping) {
+    if (isDraining()) {
       return Optional.of(ErrorCode.DRAINING);
     }
     return document.filter(d -> !d.isInService(zone)).map(d -> ErrorCode.ZONE_OUT);
   }
 
+  private boolean isDraining() {
+    return draining || stopping || notices().isLeaving();
+  }
+
   private void advanceTo(long nowNanos) {
     latestNanos = nowNanos;
     cutOff.update(targetLimit.limit(), inFlight(), nowNanos);
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/model/TargetNotice.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/model/TargetNotice.java
@@ -10,8 +10,10 @@
  * @param target incarnation that the notice is about
  * @param requestsPerSecond highest rate of requests from all daemons together that the target
  *     accepts; empty without such a limit
+ * @param leaving whether the target is about to end; it never takes this back
  */
-public record TargetNotice(TargetIncarnation target, Optional<Double> requestsPerSecond) {
+public record TargetNotice(
+    TargetIncarnation target, Optional<Double> requestsPerSecond, boolean leaving) {
   /** Checks the fields. */
   public TargetNotice {
     Objects.requireNonNull(target, "target");
@@ -22,6 +24,6 @@
 
   /** Returns whether the target said nothing that its daemon has to obey. */
   public boolean isEmpty() {
-    return requestsPerSecond.isEmpty();
+    return requestsPerSecond.isEmpty() && !leaving;
   }
 }
--- a/org.pomelohollow.wire/src/main/java/org/pomelohollow/wire/AttemptCodec.java
+++ b/org.pomelohollow.wire/src/main/java/org/pomelohollow/wire/AttemptCodec.java
@@ -107,6 +107,7 @@
     }
     TargetNotice n = notice.get();
     p.packString(n.target().instance()).packLong(n.target().startedMillis());
+    p.packBoolean(n.leaving());
     if (n.requestsPerSecond().isPresent()) {
       p.packDouble(n.requestsPerSecond().get());
     } else {
@@ -119,8 +120,9 @@
       return Optional.empty();
     }
     TargetIncarnation t = new TargetIncarnation(u.unpackString(), u.unpackLong());
-    return Optional.of(
-        new TargetNotice(t, u.tryUnpackNil() ? Optional.empty() : Optional.of(u.unpackDouble())));
+    boolean leaving = u.unpackBoolean();
+    Optional<Double> rate = u.tryUnpackNil() ? Optional.empty() : Optional.of(u.unpackDouble());
+    return Optional.of(new TargetNotice(t, rate, leaving));
   }
 
   private static void packHeaderFields(MessagePacker p, List<HeaderField> fields)
