Try the excess of a rate-limited target elsewhere, at once

Cause: the excess waited in the queue of the limited target and was then shed as overload, which the retry budget keeps from other targets.

If all of them refuse, that counts as pressure on the route, so that entries refuse what a whole call tree would fail on; a single limited target causes no pressure.

--- a/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/admission/NamedRequestRateTest.java
+++ b/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/admission/NamedRequestRateTest.java
@@ -17,6 +17,7 @@
 import org.pomelohollow.document.Document;
 import org.pomelohollow.document.ServiceEntry;
 import org.pomelohollow.document.ZoneEntry;
+import org.pomelohollow.errors.ErrorCode;
 import org.pomelohollow.model.Endpoint;
 import org.pomelohollow.model.Priority;
 import org.pomelohollow.model.RequestContext;
@@ -38,6 +39,7 @@
 
   private AdmissionController admission;
   private final List<Long> startedNanos = new ArrayList<>();
+  private final List<Verdict.NotRun> refusals = new ArrayList<>();
   private final List<Running> running = new ArrayList<>();
   private Optional<Double> named = Optional.empty();
   private int offered;
@@ -66,6 +68,18 @@
     assertTrue(started >= 0.9 * 8 * 20, started + " requests in 20 s");
   }
 
+  @Test
+  void requestsAboveTheRateAreRefusedAtOnceSoThatOtherTargetsCanServeThem() {
+    named = Optional.of(8.0);
+    offerFor(40, 5 * NANOS_PER_SECOND);
+    refusals.clear();
+    for (int i = 0; i < 10; i++) {
+      admission.offer(context("b" + i), false, new Running(now), now);
+    }
+    assertTrue(refusals.size() >= 7, refusals.size() + " of 10 refused");
+    assertTrue(refusals.stream().allMatch(v -> v.code() == ErrorCode.TARGET_RATE_LIMITED));
+  }
+
   @Test
   void aDaemonThatRestartsBesideALimitedTargetKeepsToTheLimitThatEntryDaemonsKnow() {
     named = Optional.of(8.0);
@@ -227,7 +241,7 @@
 
     @Override
     public void refused(Verdict.NotRun verdict) {
-      // Only started requests are counted.
+      refusals.add(verdict);
     }
   }
 }
--- a/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/attempt/AttemptFilterTest.java
+++ b/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/attempt/AttemptFilterTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
@@ -24,6 +25,7 @@
 class AttemptFilterTest {
   private static final Verdict LOST = new Verdict.MayHaveRun(ErrorCode.CONNECTION_LOST);
   private static final Verdict REFUSED = new Verdict.NotRun(ErrorCode.OVERLOADED);
+  private static final Verdict RATE_LIMITED = new Verdict.NotRun(ErrorCode.TARGET_RATE_LIMITED);
   private static final Duration TICK = Duration.ofMillis(50);
 
   private final List<MemberId> attemptedMembers = new ArrayList<>();
@@ -42,6 +44,27 @@
         });
   }
 
+  @Example
+  void aRateLimitedTargetIsPassedOverWithoutARetryBudget() {
+    AttemptHarness h = harness(3, new RetrySettings(4, 0, 0, 0, 0));
+    h.start(false, Optional.empty());
+    listeners.get(0).failed(RATE_LIMITED, Optional.of(TargetLoad.UNKNOWN));
+    assertEquals(2, attemptedMembers.size());
+    assertNotEquals(attemptedMembers.get(0), attemptedMembers.get(1));
+    assertEquals(List.of(), h.reportedLoads);
+  }
+
+  @Example
+  void aServiceWhoseTargetsAreAllRateLimitedReportsPressure() {
+    AttemptHarness h = harness(2, new RetrySettings(2, 0, 0, 0, 0));
+    Exchange x = h.start(true, Optional.empty());
+    for (int i = 0; i < listeners.size(); i++) {
+      listeners.get(i).failed(RATE_LIMITED, Optional.of(TargetLoad.UNKNOWN));
+    }
+    assertTrue(x.hasEnded());
+    assertEquals(List.of(TargetLoad.REFUSING), h.reportedLoads);
+  }
+
   /**
    * Ends attempts in random ways, some of them more than once: a request reported as not run has
    * not run, a non-idempotent one runs once at most, and no attempt starts after the request's end.
--- a/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/attempt/AttemptHarness.java
+++ b/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/attempt/AttemptHarness.java
@@ -33,6 +33,7 @@
 import org.pomelohollow.model.RequestContext;
 import org.pomelohollow.model.Roster;
 import org.pomelohollow.model.ServiceId;
+import org.pomelohollow.model.TargetLoad;
 import org.pomelohollow.model.TargetState;
 import org.pomelohollow.model.Verdict;
 import org.pomelohollow.model.ZoneId;
@@ -50,6 +51,7 @@
   public final ManualClock clock = new ManualClock();
   public final Timers timers = new Timers();
   public final List<Verdict> refusals = new ArrayList<>();
+  public final List<TargetLoad> reportedLoads = new ArrayList<>();
   private final FilterChain chain;
   private int requests;
 
@@ -73,7 +75,7 @@
             settings,
             budgets,
             quarantine,
-            (x, load, now) -> {});
+            (x, load, now) -> reportedLoads.add(load));
     chain =
         new FilterChain(
             List.of(
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionController.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionController.java
@@ -28,7 +28,6 @@
  */
 public final class AdmissionController implements Controller {
   private static final String PART = "admission";
-  private static final int MIN_QUEUE_BOUND = 8;
 
   /** Least number of running requests far above their routes' latency that indicates a stall. */
   private static final int MIN_STALLED_REQUESTS = 12;
@@ -301,7 +300,7 @@
   private void advanceTo(long nowNanos) {
     latestNanos = nowNanos;
     cutOff.update(targetLimit.limit(), inFlight(), nowNanos);
-    pressure.update(inFlight() + queues.size(), targetLimit.rateBoundLimit(), nowNanos);
+    pressure.update(inFlight() + queues.size(), targetLimit.limit(), nowNanos);
   }
 
   private void startQueued(long nowNanos) {
@@ -345,7 +344,7 @@
 
   /** Sheds the requests that would be served last until the queue is within its bound. */
   private void shedExcess(AdmissionQueue q, long nowNanos) {
-    while (q.size() > Math.max(MIN_QUEUE_BOUND, targetLimit.rateBoundLimit())) {
+    while (q.size() > targetLimit.queueBound()) {
       Ticket t = q.last().orElseThrow();
       q.remove(t);
       shed(t, nowNanos);
@@ -384,14 +383,12 @@
   private void shed(Ticket t, long nowNanos) {
     cutOff.recordShed(t.context().priority());
     overload.recordShed(nowNanos);
-    refuse(
-        t, targetLimit.isCold(nowNanos) ? ErrorCode.TARGET_COLD : ErrorCode.OVERLOADED, nowNanos);
+    refuse(t, targetLimit.shedCode(nowNanos), nowNanos);
   }
 
   private void refuse(Ticket t, ErrorCode code, long nowNanos) {
     t.end();
-    boolean shed = code == ErrorCode.OVERLOADED || code == ErrorCode.TARGET_COLD;
-    t.listener().refused(new Verdict.NotRun(code, shed ? overload.retryAfterMillis(nowNanos) : 0));
+    t.listener().refused(new Verdict.NotRun(code, overload.retryAfterMillis(code, nowNanos)));
   }
 
   /** Handle of an open outbound call of a running request. */
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/OverloadTracker.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/OverloadTracker.java
@@ -1,6 +1,7 @@
 package org.pomelohollow.decision.admission;
 
 import java.util.concurrent.TimeUnit;
+import org.pomelohollow.errors.ErrorCode;
 
 /**
  * Tracks the overload of a target, to bound the time in the queue and to choose the retry delay of
@@ -43,11 +44,16 @@
   }
 
   /**
-   * Returns the time after which a shed request may be sent again: half the duration of the
-   * overload so far, within bounds, in milliseconds.
+   * Returns the time after which a refused request may be sent again: half the duration of the
+   * overload so far, within bounds, in milliseconds; 0 if it was not shed.
    */
-  long retryAfterMillis(long nowNanos) {
-    long halfMillis = TimeUnit.NANOSECONDS.toMillis(nowNanos - overloadStartNanos) / 2;
-    return Math.max(MIN_RETRY_MILLIS, Math.min(MAX_RETRY_MILLIS, halfMillis));
+  long retryAfterMillis(ErrorCode code, long nowNanos) {
+    return switch (code) {
+      case OVERLOADED, TARGET_COLD, TARGET_RATE_LIMITED -> {
+        long halfMillis = TimeUnit.NANOSECONDS.toMillis(nowNanos - overloadStartNanos) / 2;
+        yield Math.max(MIN_RETRY_MILLIS, Math.min(MAX_RETRY_MILLIS, halfMillis));
+      }
+      default -> 0;
+    };
   }
 }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/RequestRateLimiter.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/RequestRateLimiter.java
@@ -16,6 +16,9 @@
    */
   private static final double MIN_RATE = 0.25;
 
+  /** Time that a request may wait for its turn before it is better tried elsewhere. */
+  private static final double QUEUE_SECONDS = 0.25;
+
   /** Weight of the newest request in the mean time that requests are held. */
   private static final double HELD_SMOOTHING = 0.1;
 
@@ -93,6 +96,18 @@
     meanHeldSeconds += meanHeldSeconds == 0 ? s : HELD_SMOOTHING * (s - meanHeldSeconds);
   }
 
+  /**
+   * Returns the longest queue at the limited rate: the requests that start within {@link
+   * #QUEUE_SECONDS}.
+   *
+   * @param bound longest queue without a limit
+   */
+  int queueBound(int bound) {
+    return requestsPerSecond
+        .map(r -> (int) Math.min(bound, Math.max(1, Math.ceil(r * QUEUE_SECONDS))))
+        .orElse(bound);
+  }
+
   /**
    * Returns the requests in flight at the limited rate, by Little's law, rounded up.
    *
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/TargetLimit.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/TargetLimit.java
@@ -6,6 +6,7 @@
 import org.pomelohollow.document.ColdStartRate;
 import org.pomelohollow.document.Document;
 import org.pomelohollow.document.ServiceEntry;
+import org.pomelohollow.errors.ErrorCode;
 import org.pomelohollow.model.TargetState;
 
 /**
@@ -20,6 +21,8 @@
   /** Time between announcements after which the target may have restarted unnoticed. */
   private static final long MAX_ANNOUNCEMENT_GAP_NANOS = 3_000_000_000L;
 
+  private static final int MIN_QUEUE_BOUND = 8;
+
   private final LimitAlgorithm algorithm;
   private final double slotShare;
   private final ColdStartLimit coldStart = new ColdStartLimit();
@@ -89,8 +92,26 @@
     return coldStart.isCold() ? coldStart.limit() : Math.min(algorithm.limit(), coldStart.limit());
   }
 
+  /**
+   * Returns the longest queue. That of a target that named a request rate is short, since other
+   * targets of the service may have room.
+   */
+  int queueBound() {
+    return notices.requestRate().queueBound(Math.max(MIN_QUEUE_BOUND, limit()));
+  }
+
+  /** Returns the error code for requests that are shed from the queue. */
+  ErrorCode shedCode(long nowNanos) {
+    if (isCold(nowNanos)) {
+      return ErrorCode.TARGET_COLD;
+    }
+    return notices.requestRate().requestsPerSecond().isPresent()
+        ? ErrorCode.TARGET_RATE_LIMITED
+        : ErrorCode.OVERLOADED;
+  }
+
   /** Returns the number of requests in flight that the named request rate leaves. */
-  int rateBoundLimit() {
+  private int rateBoundLimit() {
     return notices.requestRate().equivalentLimit(limit());
   }
 
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/attempt/AttemptSequence.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/attempt/AttemptSequence.java
@@ -87,14 +87,14 @@
             && !isSameForAllTargets(v)
             && (v.isSafeToRetry() || exchange.context().idempotent());
     if (!retryable || lostAttempts > MAX_RETRIED_LOSSES || !spendRetry(v)) {
-      exchange.refuse(v);
+      refuse(v);
       return;
     }
     retries++;
     long now = now();
     long retryAtNanos = now + backoffNanos(v);
     if (exchange.context().deadlineNanos() <= retryAtNanos) {
-      exchange.refuse(v);
+      refuse(v);
     } else if (retryAtNanos == now) {
       retry(v);
     } else {
@@ -106,12 +106,23 @@
   private void retry(Verdict previous) {
     Optional<MemberId> to = choose(now());
     if (to.isEmpty()) {
-      exchange.refuse(previous);
+      refuse(previous);
       return;
     }
     send(to.get());
   }
 
+  /**
+   * Refuses the request. If the targets' request rates leave no room for it, that counts as
+   * pressure on its route: a single target with a limit does not, while others have room.
+   */
+  private void refuse(Verdict v) {
+    if (isRateLimited(v)) {
+      deps.feedback().loadReported(exchange, TargetLoad.REFUSING, now());
+    }
+    exchange.refuse(v);
+  }
+
   private boolean spendRetry(Verdict v) {
     if (allowance.remaining() == 0) {
       return false;
@@ -133,15 +144,22 @@
     return limitNanos == 0 ? 0 : deps.random().nextLong(limitNanos + 1);
   }
 
-  /** Returns whether the member refused because it is unavailable, not because of load. */
+  /**
+   * Returns whether the member refused for a reason that other members need not share, so that the
+   * retry adds no load where there is too much of it.
+   */
   private static boolean isMemberUnavailable(Verdict v) {
     return v instanceof Verdict.NotRun n
         && switch (n.code()) {
-          case DRAINING, ZONE_OUT, NO_TARGET, UNREACHABLE -> true;
+          case DRAINING, ZONE_OUT, NO_TARGET, UNREACHABLE, TARGET_RATE_LIMITED -> true;
           default -> false;
         };
   }
 
+  private static boolean isRateLimited(Verdict v) {
+    return v instanceof Verdict.NotRun n && n.code() == ErrorCode.TARGET_RATE_LIMITED;
+  }
+
   /** Returns whether the verdict suggests that the request crashed a target. */
   private static boolean mayHaveCrashedTarget(Verdict v) {
     return v instanceof Verdict.MayHaveRun m
@@ -202,7 +220,7 @@
         targetAttempts++;
       }
       if (verdict instanceof Verdict.NotRun n) {
-        end(AttemptResult.Outcome.REFUSED);
+        end(AttemptResult.Outcome.REFUSED, !isRateLimited(verdict));
         exchange.attemptNotRun();
         if (n.code() != ErrorCode.TARGET_REFUSED) {
           allowance.returnUnused(allowanceShare);
@@ -236,9 +254,15 @@
     }
 
     private void end(AttemptResult.Outcome outcome) {
+      end(outcome, true);
+    }
+
+    private void end(AttemptResult.Outcome outcome, boolean reportsPressure) {
       ended = true;
       long now = now();
-      load.ifPresent(l -> deps.feedback().loadReported(exchange, l, now));
+      if (reportsPressure) {
+        load.ifPresent(l -> deps.feedback().loadReported(exchange, l, now));
+      }
       deps.router().attemptEnded(to, new AttemptResult(outcome, now - startedNanos, load), now);
     }
   }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/errors/ErrorCode.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/errors/ErrorCode.java
@@ -26,6 +26,8 @@
   ZONE_OUT("PH-1205", 503),
   /** The target refused the request before running it. */
   TARGET_REFUSED("PH-1206", 503),
+  /** The target accepts no more requests per second. */
+  TARGET_RATE_LIMITED("PH-1207", 503),
   /** The deadline of the request passed. */
   DEADLINE_EXCEEDED("PH-1301", 504),
   /** The caller cancelled the request or disconnected, or a command was interrupted. */
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/model/TargetLoad.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/model/TargetLoad.java
@@ -18,6 +18,9 @@
   /** Load of a target that nothing is known about. */
   public static final TargetLoad UNKNOWN = new TargetLoad(1, 0, 0, Priority.NONE_SHED, 0);
 
+  /** Load of a service whose targets refuse all requests of a kind. */
+  public static final TargetLoad REFUSING = new TargetLoad(1, 1, 0, Priority.NONE_SHED, 1);
+
   /**
    * Creates a load report without pressure.
    *
