--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/Event.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/Event.java
@@ -77,9 +77,10 @@
    * A complete operators' document was read from a store that keeps only the newest one.
    *
    * @param version version of the document, from 1; increases with each document
+   * @param changeId the same version in a form for operators
    * @param text text of the document
    */
-  record DocumentPublished(long version, String text) implements Event {}
+  record DocumentPublished(long version, String changeId, String text) implements Event {}
 
   /**
    * A configuration has become active at this daemon.
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/config/ConfigController.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/config/ConfigController.java
@@ -282,7 +282,7 @@
 
   /** Activates a document of operators who assign the versions of their documents themselves. */
   private void activatePublished(Event.DocumentPublished p) {
-    adoptIfNewer(new ConfigState(p.version(), p.text(), List.of("v" + p.version()), 0));
+    adoptIfNewer(new ConfigState(p.version(), p.text(), List.of(p.changeId()), 0));
     if (p.version() >= newestPeerVersion) {
       freshness.confirm(lastEventNanos, lastEventNanos);
     }
@@ -355,7 +355,7 @@
     active = Optional.of(v);
     keyDigests =
         d.apiKeys().stream().map(ApiKeyEntry::digest).collect(Collectors.toUnmodifiableSet());
-    emitLogLine(false, "version " + s.version() + " is in force");
+    emitLogLine(false, "version " + s.version() + " is in force, change " + s.changeId());
     effects.emit(new Effect.RaiseEvent(new Event.ConfigActivated(v)));
   }
 
