Register anew with a store that was restored from a copy

What could happen: a copy from before a daemon's start lacks its record. Its own record was renewed only on expiry, ten minutes later, and reads of the members went on at an offset of the store before the restore, so they missed what was written at lower offsets since. Daemons that start then find the others only through a member that still has its record.

--- a/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/membership/MembershipControllerTest.java
+++ b/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/membership/MembershipControllerTest.java
@@ -73,6 +73,17 @@
     assertEquals(1, effects.take(Effect.Append.class).size());
   }
 
+  @Example
+  void theOwnRecordIsRenewedWhenTheLogHasLostItsNewestEntries() {
+    handle(new Event.Tick());
+    effects.take(Effect.Append.class);
+    handle(new Event.AppendCompleted(5, Event.AppendOutcome.APPENDED));
+    handle(new Event.LogRestored());
+    clock.advance(Duration.ofSeconds(2));
+    handle(new Event.Tick());
+    assertEquals(1, effects.take(Effect.Append.class).size());
+  }
+
   @Example
   void failedJoinsAreRepeatedEverMoreSlowly() {
     for (int second = 0; second < 600; second++) {
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/Event.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/Event.java
@@ -65,6 +65,12 @@
    */
   record LogReadFailed(LogStream stream) implements Event {}
 
+  /**
+   * The log came back from a copy: the newest entries are lost, and their offsets are given out
+   * again.
+   */
+  record LogRestored() implements Event {}
+
   /**
    * An append to the log completed.
    *
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/membership/LogRegistration.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/membership/LogRegistration.java
@@ -17,6 +17,9 @@
   /** Longest time between renewals; jitter shortens it by up to a half. */
   private static final long RENEWAL_INTERVAL_NANOS = 600_000_000_000L;
 
+  /** Longest delay of the renewal after the log was restored; jitter spreads the appends of all. */
+  private static final long RESTORED_RENEWAL_NANOS = 2_000_000_000L;
+
   /** Longest delay of the first retry; jitter shortens it, and each retry doubles it. */
   private static final long INITIAL_RETRY_NANOS = 2_000_000_000L;
 
@@ -101,6 +104,16 @@
     }
   }
 
+  /**
+   * Schedules a renewal, since the log has lost its newest entries.
+   *
+   * @param nowNanos current monotonic time, in nanoseconds
+   */
+  void onLogRestored(long nowNanos) {
+    offset = NO_OFFSET;
+    nextAppendNanos = nowNanos + jitter(RESTORED_RENEWAL_NANOS);
+  }
+
   private void findOwnRecord(StoredEntry e) {
     if (e.entry().orElse(null) instanceof MemberJoined j && j.member().equals(self.id())) {
       offset = Math.max(offset, e.offset());
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/membership/MembershipController.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/membership/MembershipController.java
@@ -170,6 +170,8 @@
       onLogRead(r, nowNanos);
     } else if (event instanceof Event.AppendCompleted a) {
       logRegistration.onAppendEnded(a, nowNanos);
+    } else if (event instanceof Event.LogRestored) {
+      logRegistration.onLogRestored(nowNanos);
     } else if (event instanceof Event.LinkLost l) {
       onLinkLost(l.peer(), nowNanos);
     } else if (event instanceof Event.LinkUp l) {
