--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/Daemon.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/Daemon.java
@@ -25,6 +25,7 @@
 import org.pomelohollow.decision.Effect;
 import org.pomelohollow.decision.Event;
 import org.pomelohollow.decision.Node;
+import org.pomelohollow.decision.config.VersionedDocument;
 import org.pomelohollow.decision.request.Exchange;
 import org.pomelohollow.decision.routing.TargetNoticeCache;
 import org.pomelohollow.errors.PomelohollowException;
@@ -58,7 +59,7 @@
   private final Scheduler loop = Schedulers.fromExecutor(loops.onServer(true).next());
   private final WireCodec codec = new WireCodec();
   private final DaemonMetrics metrics = new DaemonMetrics();
-  private final RequestLog requestLog = new RequestLog(this::configVersion);
+  private final RequestLog requestLog = new RequestLog(this::configurationChange);
   private final TargetNoticeCache notices = new TargetNoticeCache();
   private final TargetRequestRegistry runningRequests = new TargetRequestRegistry();
   private final Deployment deployment;
@@ -245,8 +246,8 @@
     return !shuttingDown && node.config().active().isPresent();
   }
 
-  private long configVersion() {
-    return node.config().version();
+  private String configurationChange() {
+    return node.config().active().map(VersionedDocument::changeId).orElse("none");
   }
 
   private void targetUnreachable() {
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/RequestLog.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/RequestLog.java
@@ -1,6 +1,6 @@
 package org.pomelohollow.daemon;
 
-import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.pomelohollow.decision.request.Exchange;
 import org.pomelohollow.errors.ErrorCode;
 import org.pomelohollow.model.AccountId;
@@ -21,7 +21,7 @@
   private static final double NANOS_PER_SECOND = 1e9;
   private static final long NANOS_PER_MILLI = 1_000_000;
 
-  private final LongSupplier configVersion;
+  private final Supplier<String> configuration;
   private double availableLines = BURST_LINES;
   private long refilledNanos;
   private long droppedLines;
@@ -29,10 +29,10 @@
   /**
    * Creates a request log.
    *
-   * @param configVersion returns the version of the active configuration, 0 if there is none
+   * @param configuration returns the change that made the active configuration
    */
-  RequestLog(LongSupplier configVersion) {
-    this.configVersion = configVersion;
+  RequestLog(Supplier<String> configuration) {
+    this.configuration = configuration;
   }
 
   /**
@@ -68,7 +68,7 @@
         v.code().id(),
         v.code(),
         (nowNanos - x.arrivedNanos()) / NANOS_PER_MILLI,
-        configVersion.getAsLong(),
+        configuration.get(),
         droppedLines);
     droppedLines = 0;
   }
