Encode notices of targets only where there are some

Attempts and response heads without a notice are now the same bytes as before notices existed, so that daemons of both releases serve each other while no target is in need. WireCodecTest has both forms.

--- a/org.pomelohollow.wire/src/main/java/org/pomelohollow/wire/AttemptCodec.java
+++ b/org.pomelohollow.wire/src/main/java/org/pomelohollow/wire/AttemptCodec.java
@@ -99,10 +99,10 @@
         u.unpackInt(), u.unpackInt(), u.unpackInt(), new Priority(u.unpackInt()), u.unpackDouble());
   }
 
+  /** Encodes a notice at the end of a message, which is as in earlier releases without one. */
   private static void packNotice(MessagePacker p, Optional<TargetNotice> notice)
       throws IOException {
     if (notice.isEmpty()) {
-      p.packNil();
       return;
     }
     TargetNotice n = notice.get();
@@ -116,7 +116,7 @@
   }
 
   private static Optional<TargetNotice> unpackNotice(MessageUnpacker u) throws IOException {
-    if (u.tryUnpackNil()) {
+    if (!u.hasNext()) {
       return Optional.empty();
     }
     TargetIncarnation t = new TargetIncarnation(u.unpackString(), u.unpackLong());
--- a/org.pomelohollow.wire/src/test/java/org/pomelohollow/wire/WireCodecTest.java
+++ b/org.pomelohollow.wire/src/test/java/org/pomelohollow/wire/WireCodecTest.java
@@ -24,12 +24,17 @@
 import org.pomelohollow.decision.quota.QuotaPiece;
 import org.pomelohollow.errors.ErrorCode;
 import org.pomelohollow.errors.PomelohollowException;
+import org.pomelohollow.junit.RequestContexts;
 import org.pomelohollow.message.PeerMessage;
 import org.pomelohollow.model.AccountId;
 import org.pomelohollow.model.Endpoint;
+import org.pomelohollow.model.HeaderField;
 import org.pomelohollow.model.Member;
 import org.pomelohollow.model.MemberId;
 import org.pomelohollow.model.ServiceId;
+import org.pomelohollow.model.TargetIncarnation;
+import org.pomelohollow.model.TargetLoad;
+import org.pomelohollow.model.TargetNotice;
 import org.pomelohollow.model.TargetState;
 import org.pomelohollow.model.ZoneId;
 
@@ -58,6 +63,32 @@
     assertEquals(Optional.of(c), codec.decodeEntry(codec.encode(c)));
   }
 
+  @Example
+  void noticesOfTargetsSurviveEncoding() {
+    TargetIncarnation t = new TargetIncarnation("i-1", 1_764_000_000_000L);
+    for (Optional<TargetNotice> n :
+        List.of(
+            Optional.<TargetNotice>empty(),
+            Optional.of(new TargetNotice(t, Optional.of(8.8), false)),
+            Optional.of(new TargetNotice(t, Optional.empty(), true)))) {
+      ResponseHead r =
+          new ResponseHead(200, List.of(new HeaderField("a", "b")), TargetLoad.UNKNOWN, n);
+      assertEquals(r, codec.decode(ResponseHead.class, codec.encode(r)));
+      AttemptHead a =
+          AttemptHead.of(
+                  RequestContexts.of("r", true),
+                  0,
+                  false,
+                  "GET",
+                  "/",
+                  List.of(),
+                  Optional.empty(),
+                  Bytes.of(new byte[3]))
+              .withNotice(n);
+      assertEquals(a, codec.decode(AttemptHead.class, codec.encode(a)));
+    }
+  }
+
   @Example
   void aLogEntryIsNotAPeerMessage() {
     byte[] b = codec.encode(new ConfigProposal("c", 0, "t"));
