Pass over rate-limited targets also with calls that have no retries left

Cause, by reading: most calls of a deep tree get no retry allowance, so a call that met a limited target was refused and failed its parent, although other targets had room. Such a refusal reached no target and is no retry.

Change: up to four limited targets are passed over without allowance.

Evidence: AttemptFilterTest's two tests run with an allowance of 0 now; with the code before, the first attempt ended them.

--- a/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/attempt/AttemptFilterTest.java
+++ b/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/attempt/AttemptFilterTest.java
@@ -45,8 +45,8 @@
   }
 
   @Example
-  void aRateLimitedTargetIsPassedOverWithoutARetryBudget() {
-    AttemptHarness h = harness(3, new RetrySettings(4, 0, 0, 0, 0));
+  void aRateLimitedTargetIsPassedOverWithoutRetryBudgetAndAllowance() {
+    AttemptHarness h = harness(3, new RetrySettings(0, 0, 0, 0, 0));
     h.start(false, Optional.empty());
     listeners.get(0).failed(RATE_LIMITED, Optional.of(TargetLoad.UNKNOWN));
     assertEquals(2, attemptedMembers.size());
@@ -56,7 +56,7 @@
 
   @Example
   void aServiceWhoseTargetsAreAllRateLimitedReportsPressure() {
-    AttemptHarness h = harness(2, new RetrySettings(2, 0, 0, 0, 0));
+    AttemptHarness h = harness(2, new RetrySettings(0, 0, 0, 0, 0));
     Exchange x = h.start(true, Optional.empty());
     for (int i = 0; i < listeners.size(); i++) {
       listeners.get(i).failed(RATE_LIMITED, Optional.of(TargetLoad.UNKNOWN));
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/attempt/AttemptSequence.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/attempt/AttemptSequence.java
@@ -16,6 +16,9 @@
   /** Lost attempts that may be retried, so that one request crashes two targets at most. */
   private static final int MAX_RETRIED_LOSSES = 1;
 
+  /** Rate-limited targets that one request passes over. */
+  private static final int MAX_PASSED_OVER = 4;
+
   private final Exchange exchange;
   private final AttemptFilter.Dependencies deps;
   private final Set<MemberId> tried = new HashSet<>();
@@ -24,6 +27,7 @@
   private int retries;
   private int targetAttempts;
   private int lostAttempts;
+  private int passedOver;
 
   AttemptSequence(Exchange exchange, AttemptFilter.Dependencies deps) {
     this.exchange = exchange;
@@ -124,6 +128,9 @@
   }
 
   private boolean spendRetry(Verdict v) {
+    if (isRateLimited(v)) {
+      return passedOver++ < MAX_PASSED_OVER; // Reached no target, so it is no retry at one.
+    }
     if (allowance.remaining() == 0) {
       return false;
     }
@@ -144,14 +151,11 @@
     return limitNanos == 0 ? 0 : deps.random().nextLong(limitNanos + 1);
   }
 
-  /**
-   * Returns whether the member refused for a reason that other members need not share, so that the
-   * retry adds no load where there is too much of it.
-   */
+  /** Returns whether the member refused because it is unavailable, not because of load. */
   private static boolean isMemberUnavailable(Verdict v) {
     return v instanceof Verdict.NotRun n
         && switch (n.code()) {
-          case DRAINING, ZONE_OUT, NO_TARGET, UNREACHABLE, TARGET_RATE_LIMITED -> true;
+          case DRAINING, ZONE_OUT, NO_TARGET, UNREACHABLE -> true;
           default -> false;
         };
   }
