Get the lease of a new witness before it is claimed

Cause: when the witness of a quota piece fell silent, the holder claimed the piece with another witness at once. The claim replaced the witness whose lease still held by one whose lease was not there yet, and the piece was not lent until it came.

Change: the next witness is asked for its lease first, and claimed once it has given it or once the piece can't be lent any more.

QuotaSafetyTest, the bound on what is granted, holds. RestartTest stays listed: it passed with and without this change.

--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/quota/Lender.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/quota/Lender.java
@@ -43,13 +43,27 @@
     return heldPieces;
   }
 
-  /** Returns the witnesses of all held pieces, from which this daemon needs leases. */
+  /** Returns the present and next witnesses of all held pieces, to get leases from. */
   Set<MemberId> witnesses() {
     Set<MemberId> out = new HashSet<>();
-    heldPieces.values().forEach(h -> out.addAll(h.requiredWitnesses));
+    heldPieces
+        .values()
+        .forEach(
+            h -> {
+              out.addAll(h.requiredWitnesses);
+              h.nextWitness.ifPresent(out::add);
+            });
     return out;
   }
 
+  /**
+   * Names the member that is to be the next witness of a held piece. Its lease is obtained while
+   * the present witness's still holds, so that lending does not pause at the change.
+   */
+  void prepareWitness(QuotaPiece p, Optional<MemberId> next) {
+    heldPieces.get(p).nextWitness = next;
+  }
+
   /**
    * Updates the held pieces after a claim was accepted: this daemon obtains, keeps or loses a
    * piece.
@@ -72,6 +86,7 @@
       resize(p, h, nowNanos);
     }
     h.witness = c.current().witness();
+    h.nextWitness = Optional.empty();
     h.requiredWitnesses.clear();
     h.witness.ifPresent(h.requiredWitnesses::add);
     h.stopped = false;
@@ -223,6 +238,7 @@
     private final long readyNanos;
     private final Set<MemberId> requiredWitnesses = new HashSet<>();
     private Optional<MemberId> witness = Optional.empty();
+    private Optional<MemberId> nextWitness = Optional.empty();
     private boolean confirmed;
     private boolean stopped;
     private long claimSentNanos;
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/quota/PieceClaimer.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/quota/PieceClaimer.java
@@ -167,6 +167,10 @@
     Optional<MemberId> witness = h.witness();
     if (witnessSilent || witness.isEmpty()) {
       witness = placement.chooseWitness(self, id -> h.witness().filter(id::equals).isPresent());
+      if (mustPrepare(h, witness, nowNanos)) {
+        lender.prepareWitness(p, witness);
+        witness = h.witness();
+      }
     }
     boolean repeatDue =
         !h.isConfirmedWithin(settings.claimExpiryNanos() / CLAIMS_PER_EXPIRY, nowNanos);
@@ -175,6 +179,15 @@
         : Optional.empty();
   }
 
+  /**
+   * Returns whether the lease of a new witness is to be obtained before it is claimed, since the
+   * piece can be lent until then.
+   */
+  private boolean mustPrepare(Lender.HeldPiece h, Optional<MemberId> next, long nowNanos) {
+    boolean hasLease = next.filter(w -> !leases.isValid(w, nowNanos)).isEmpty();
+    return !hasLease && lender.canLend(h, nowNanos);
+  }
+
   /**
    * Returns the member to hand a piece over to, if this daemon is stopping or the piece belongs to
    * another zone.
