Log and count cancelled work, paused reading and the delay of the event loop

Nothing told when the daemons notice that a caller has left: its requests ended without a log line and as 'not-run' in the metrics, the target's daemon counted no cancellations, and how late the event loop runs was not measured.

Each kind of line has a budget of its own.

--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/Daemon.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/Daemon.java
@@ -16,6 +16,7 @@
 import org.pomelohollow.daemon.internal.http.EntryPoint;
 import org.pomelohollow.daemon.internal.http.HttpServers;
 import org.pomelohollow.daemon.internal.http.InboundServer;
+import org.pomelohollow.daemon.internal.io.LineBudget;
 import org.pomelohollow.daemon.internal.link.PeerLinkListener;
 import org.pomelohollow.daemon.internal.link.PeerLinks;
 import org.pomelohollow.daemon.internal.log.LogPoller;
@@ -53,6 +54,7 @@
   private static final Duration LIVENESS_CHECK_INTERVAL = Duration.ofSeconds(1);
 
   private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(5);
+  private static final long NANOS_PER_MILLI = 1_000_000;
 
   private final Settings settings;
   private final LoopResources loops = LoopResources.create("pomelohollow", 1, true);
@@ -60,6 +62,7 @@
   private final WireCodec codec = new WireCodec();
   private final DaemonMetrics metrics = new DaemonMetrics();
   private final RequestLog requestLog = new RequestLog(this::configurationChange);
+  private final LineBudget cancellationLines = new LineBudget();
   private final TargetNoticeCache notices = new TargetNoticeCache();
   private final TargetRequestRegistry runningRequests = new TargetRequestRegistry();
   private final Deployment deployment;
@@ -232,14 +235,16 @@
     handle(new Event.RosterChanged(node.membership().roster()));
     logPump.start();
     documentSubscription = deployment.followDocuments(loop, this::handle);
-    scheduleEvery(TICK_INTERVAL, this::tick);
+    LoopDelay delay = new LoopDelay(TICK_INTERVAL, System.nanoTime(), metrics::recordLoopDelay);
+    scheduleEvery(TICK_INTERVAL, () -> tick(delay));
     scheduleEvery(LIVENESS_CHECK_INTERVAL, this::checkConnections);
     Logger.info(
         "daemon: {} in {} listens on {} for callers", self, settings.zone(), callerAddress());
   }
 
   private InboundServer startServer(Endpoint a, InboundHandler handler) {
-    return InboundServer.start(a, loops, settings.limits(), () -> shuttingDown, handler);
+    return InboundServer.start(
+        a, loops, settings.limits(), () -> shuttingDown, metrics::recordPausedReading, handler);
   }
 
   private boolean isReady() {
@@ -260,7 +265,19 @@
   }
 
   private LocalAttemptHandler targetSide() {
-    return new LocalAttemptHandler(node, targetClient, runningRequests, System::nanoTime);
+    return new LocalAttemptHandler(
+        node, targetClient, runningRequests, System::nanoTime, this::attemptCancelled);
+  }
+
+  private void attemptCancelled(String requestId, Optional<Long> sentNanos, long nowNanos) {
+    metrics.recordCancelledAttempt(sentNanos.isPresent());
+    if (cancellationLines.trySpend(nowNanos)) {
+      Logger.info(
+          "target: {} cancelled by its entry daemon, sent_ms={} lines_dropped={}",
+          requestId,
+          sentNanos.map(n -> Long.toString((nowNanos - n) / NANOS_PER_MILLI)).orElse("-"),
+          cancellationLines.takeDropped());
+    }
   }
 
   private void scheduleEvery(Duration d, Runnable r) {
@@ -270,8 +287,9 @@
         .scheduleWithFixedDelay(r, d.toNanos(), d.toNanos(), TimeUnit.NANOSECONDS);
   }
 
-  private void tick() {
+  private void tick(LoopDelay delay) {
     long now = System.nanoTime();
+    delay.taskRuns(now);
     targetTracker.checkTimeout(now);
     targetClient.expireOverdue(now);
     handle(new Event.Tick());
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/DaemonMetrics.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/DaemonMetrics.java
@@ -67,6 +67,20 @@
         k -> registry.counter(name, "direction", direction, "type", type));
   }
 
+  void recordCancelledAttempt(boolean sent) {
+    registry
+        .counter("pomelohollow.target.cancelled", "stage", sent ? "running" : "queued")
+        .increment();
+  }
+
+  void recordPausedReading() {
+    registry.counter("pomelohollow.callers.paused").increment();
+  }
+
+  void recordLoopDelay(long delayNanos) {
+    registry.timer("pomelohollow.loop.delay").record(delayNanos, TimeUnit.NANOSECONDS);
+  }
+
   void recordRejectedLink() {
     registry.counter("pomelohollow.links.rejected").increment();
   }
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/RequestLog.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/RequestLog.java
@@ -1,6 +1,7 @@
 package org.pomelohollow.daemon;
 
 import java.util.function.Supplier;
+import org.pomelohollow.daemon.internal.io.LineBudget;
 import org.pomelohollow.decision.request.Exchange;
 import org.pomelohollow.errors.ErrorCode;
 import org.pomelohollow.model.AccountId;
@@ -8,23 +9,16 @@
 import org.tinylog.Logger;
 
 /**
- * Logs one line for each request that was refused or that failed. A token bucket limits the lines
- * per second; the next line names the number of lines dropped, and the metrics count all requests.
+ * Logs one line for each request that was refused, that failed or whose caller left before its
+ * response. The volume is bounded; a line names the number of lines dropped before it, and the
+ * metrics count all requests.
  */
 final class RequestLog {
-  /**
-   * Enough lines to have examples of each kind; an overloaded service refuses hundreds per second.
-   */
-  private static final double LINES_PER_SECOND = 20;
-
-  private static final double BURST_LINES = 100;
-  private static final double NANOS_PER_SECOND = 1e9;
   private static final long NANOS_PER_MILLI = 1_000_000;
 
   private final Supplier<String> configuration;
-  private double availableLines = BURST_LINES;
-  private long refilledNanos;
-  private long droppedLines;
+  private final LineBudget failures = new LineBudget();
+  private final LineBudget cancellations = new LineBudget();
 
   /**
    * Creates a request log.
@@ -36,25 +30,20 @@
   }
 
   /**
-   * Logs a request that has ended, unless it ran, its caller cancelled it or the rate of lines is
-   * exceeded.
+   * Logs a request that has ended, unless it ran or the rate of lines is exceeded.
    *
    * @param x the request
    * @param v its verdict
    * @param nowNanos time of the monotonic clock, in nanoseconds
    */
   void requestEnded(Exchange x, Verdict v, long nowNanos) {
-    if (v instanceof Verdict.Ran || v.code() == ErrorCode.CANCELLED) {
+    if (v instanceof Verdict.Ran) {
       return;
     }
-    double elapsedSeconds = (nowNanos - refilledNanos) / NANOS_PER_SECOND;
-    availableLines = Math.min(BURST_LINES, availableLines + elapsedSeconds * LINES_PER_SECOND);
-    refilledNanos = nowNanos;
-    if (availableLines < 1) {
-      droppedLines++;
+    LineBudget budget = v.code() == ErrorCode.CANCELLED ? cancellations : failures;
+    if (!budget.trySpend(nowNanos)) {
       return;
     }
-    availableLines--;
     Logger.info(
         "request: id={} host={} path={} route={} service={} account={} outcome={} code={} {}"
             + " after_ms={} config={} lines_dropped={}",
@@ -69,7 +58,6 @@
         v.code(),
         (nowNanos - x.arrivedNanos()) / NANOS_PER_MILLI,
         configuration.get(),
-        droppedLines);
-    droppedLines = 0;
+        budget.takeDropped());
   }
 }
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/LocalAttemptHandler.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/LocalAttemptHandler.java
@@ -18,6 +18,7 @@
   private final TargetClient client;
   private final TargetRequestRegistry running;
   private final LongSupplier clock;
+  private final CancellationObserver cancellations;
 
   /**
    * Creates a handler.
@@ -26,9 +27,15 @@
    * @param client sends requests to the target
    * @param running registry of the requests that run at the target
    * @param clock monotonic time, in nanoseconds
+   * @param cancellations notified of attempts that are cancelled
    */
   public LocalAttemptHandler(
-      Node node, TargetClient client, TargetRequestRegistry running, LongSupplier clock) {
+      Node node,
+      TargetClient client,
+      TargetRequestRegistry running,
+      LongSupplier clock,
+      CancellationObserver cancellations) {
+    this.cancellations = cancellations;
     this.node = node;
     this.client = client;
     this.running = running;
@@ -42,7 +49,8 @@
     RequestContext c = head.context(now);
     head.notice().ifPresent(n -> adopt(n, c, now));
     TargetAttempt t =
-        new TargetAttempt(node, client, running, clock, head, c, body, responseListener);
+        new TargetAttempt(
+            node, client, running, clock, cancellations, head, c, body, responseListener);
     GuardListener l = t;
     GuardedRequest g = node.guard().offer(c, head.bulk(), l, now);
     t.setGuardedRequest(g);
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetAttempt.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetAttempt.java
@@ -30,6 +30,7 @@
   private final TargetClient client;
   private final TargetRequestRegistry running;
   private final LongSupplier clock;
+  private final CancellationObserver cancellations;
   private final AttemptHead head;
   private final RequestContext context;
   private final Flux<ByteBuf> body;
@@ -37,7 +38,7 @@
   private Optional<GuardedRequest> guardedRequest = Optional.empty();
   private Disposable exchange = () -> {};
   private Optional<ResponseRecorder> recorder = Optional.empty();
-  private boolean sent;
+  private Optional<Long> sentNanos = Optional.empty();
   private boolean cancelled;
   private boolean ended;
 
@@ -46,6 +47,7 @@
       TargetClient client,
       TargetRequestRegistry running,
       LongSupplier clock,
+      CancellationObserver cancellations,
       AttemptHead head,
       RequestContext context,
       Flux<ByteBuf> body,
@@ -54,6 +56,7 @@
     this.client = client;
     this.running = running;
     this.clock = clock;
+    this.cancellations = cancellations;
     this.head = head;
     this.context = context;
     this.body = body;
@@ -73,7 +76,8 @@
     if (ended) {
       return;
     }
-    if (!sent) {
+    cancellations.cancelled(context.requestId(), sentNanos, clock.getAsLong());
+    if (sentNanos.isEmpty()) {
       ended = true;
       guardedRequest.ifPresent(g -> g.cancel(clock.getAsLong()));
     } else if (!recordsResponse()) {
@@ -87,7 +91,7 @@
     if (cancelled) {
       return;
     }
-    sent = true;
+    sentNanos = Optional.of(clock.getAsLong());
     running.add(context);
     exchange = client.send(head, context, body, this);
   }
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/EntryPoint.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/EntryPoint.java
@@ -132,7 +132,7 @@
     CallerExchange c = new CallerExchange(in, protocol, id, r.fieldsForTarget());
     Exchange x = new Exchange(head(in, r, id, parent), clock.getAsLong(), c);
     exchanges.put(id, c);
-    Runnable cancel = () -> x.finish(new Verdict.NotRun(ErrorCode.CANCELLED));
+    Runnable cancel = x::cancel;
     Runnable unregister =
         parent.map(p -> running.addOutboundCall(p.requestId(), cancel)).orElse(() -> {});
     in.onDisconnect(cancel);
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/InboundConnection.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/InboundConnection.java
@@ -22,7 +22,6 @@
 import java.util.Deque;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
-import java.util.function.Consumer;
 import org.pomelohollow.daemon.protocol.InboundHandler;
 import org.pomelohollow.daemon.protocol.RequestBody;
 import org.reactivestreams.Subscription;
@@ -48,8 +47,7 @@
   private final InboundHandler handler;
   private final BooleanSupplier shuttingDown;
   private final long maxBodyBytes;
-  private final Consumer<InboundConnection> onClosed;
-  private final Consumer<InboundConnection> onOpened;
+  private final Listener listener;
   private final Deque<PendingResponse> pending = new ArrayDeque<>();
   private ChannelHandlerContext ctx;
   private BodyReader reader;
@@ -59,13 +57,8 @@
   private long lastActivityNanos;
 
   InboundConnection(
-      InboundHandler handler,
-      BooleanSupplier shuttingDown,
-      long maxBodyBytes,
-      Consumer<InboundConnection> onClosed,
-      Consumer<InboundConnection> onOpened) {
-    this.onClosed = onClosed;
-    this.onOpened = onOpened;
+      InboundHandler handler, BooleanSupplier shuttingDown, long maxBodyBytes, Listener listener) {
+    this.listener = listener;
     this.handler = handler;
     this.shuttingDown = shuttingDown;
     this.maxBodyBytes = maxBodyBytes;
@@ -93,7 +86,7 @@
 
   @Override
   public void channelInactive(ChannelHandlerContext c) {
-    onClosed.accept(this);
+    listener.closed(this);
     closing = true;
     if (reader != null) {
       reader.fail();
@@ -107,7 +100,7 @@
   @Override
   public void channelActive(ChannelHandlerContext c) {
     lastActivityNanos = System.nanoTime();
-    onOpened.accept(this);
+    listener.opened(this);
   }
 
   /**
@@ -148,7 +141,7 @@
       sendResponse(pending.peek());
     }
     sendContinueIfDue();
-    ctx.channel().config().setAutoRead(pending.size() < MAX_PIPELINED && !isBodyOverUnreadLimit());
+    updateReading();
   }
 
   /** Sends an interim response, unless the responses to earlier requests are still due. */
@@ -160,6 +153,14 @@
     }
   }
 
+  private void updateReading() {
+    boolean read = pending.size() < MAX_PIPELINED && !isBodyOverUnreadLimit();
+    if (!read && ctx.channel().config().isAutoRead()) {
+      listener.readingPaused(this);
+    }
+    ctx.channel().config().setAutoRead(read);
+  }
+
   private boolean isBodyOverUnreadLimit() {
     return reader != null && reader.isOverUnreadLimit();
   }
@@ -196,9 +197,7 @@
     if (start) {
       startRequest(r, body);
     }
-    if (pending.size() >= MAX_PIPELINED || isBodyOverUnreadLimit()) {
-      ctx.channel().config().setAutoRead(false);
-    }
+    updateReading();
   }
 
   private void startRequest(HttpRequest r, RequestBody body) {
@@ -283,6 +282,18 @@
     ctx.executor().schedule(() -> ctx.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
   }
 
+  /** Notified of the state of connections. */
+  interface Listener {
+    /** Notifies that a connection was accepted. */
+    void opened(InboundConnection c);
+
+    /** Notifies that a connection has been closed by either side. */
+    void closed(InboundConnection c);
+
+    /** Notifies that nothing is read from a connection until its open requests have progressed. */
+    void readingPaused(InboundConnection c);
+  }
+
   /** Sends a streamed response body, one buffer at a time, as fast as the caller reads. */
   private final class ResponseBodySubscriber extends BaseSubscriber<ByteBuf> {
     private final PendingResponse response;
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/InboundServer.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/InboundServer.java
@@ -47,6 +47,7 @@
    * @param loops event loop resources with one worker
    * @param limits bounds on request sizes and on the time that a connection may be idle
    * @param shuttingDown returns whether connections are to be closed after their last response
+   * @param onReadingPaused run when a connection with open requests is not read any further for now
    * @param handler handles the requests
    * @return the running server
    * @throws PomelohollowException with {@link ErrorCode#ADDRESS_UNAVAILABLE} if it cannot listen
@@ -56,6 +57,7 @@
       LoopResources loops,
       Settings.Limits limits,
       BooleanSupplier shuttingDown,
+      Runnable onReadingPaused,
       InboundHandler handler) {
     EventLoopGroup group = loops.onServer(true);
     Set<InboundConnection> open = new HashSet<>();
@@ -77,8 +79,7 @@
                                 handler,
                                 shuttingDown,
                                 limits.maxBodyBytes(),
-                                open::remove,
-                                open::add));
+                                new Connections(open, onReadingPaused)));
                   }
                 })
             .bind(address.address(), address.port())
@@ -122,6 +123,25 @@
     }
   }
 
+  /** Keeps the set of open connections. */
+  private record Connections(Set<InboundConnection> open, Runnable onReadingPaused)
+      implements InboundConnection.Listener {
+    @Override
+    public void opened(InboundConnection c) {
+      open.add(c);
+    }
+
+    @Override
+    public void closed(InboundConnection c) {
+      open.remove(c);
+    }
+
+    @Override
+    public void readingPaused(InboundConnection c) {
+      onReadingPaused.run();
+    }
+  }
+
   private static HttpDecoderConfig decoder(Settings.Limits limits) {
     return new HttpDecoderConfig()
         .setMaxInitialLineLength(limits.maxHeaderBytes())
--- a/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/internal/http/CallerServerTest.java
+++ b/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/internal/http/CallerServerTest.java
@@ -30,7 +30,12 @@
   private final BlockingQueue<InboundRequest> received = new LinkedBlockingQueue<>();
   private final InboundServer server =
       InboundServer.start(
-          new Endpoint(LOOPBACK, 0), loops, Settings.Limits.DEFAULT, () -> false, received::add);
+          new Endpoint(LOOPBACK, 0),
+          loops,
+          Settings.Limits.DEFAULT,
+          () -> false,
+          () -> {},
+          received::add);
 
   @AfterEach
   void close() {
--- a/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/attempt/AttemptFilterTest.java
+++ b/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/attempt/AttemptFilterTest.java
@@ -151,8 +151,11 @@
     Exchange running = h.start(true, Optional.empty());
     Exchange waiting = h.start(true, Optional.empty());
     listeners.get(1).failed(LOST, Optional.empty());
-    running.finish(new Verdict.MayHaveRun(ErrorCode.CANCELLED));
-    waiting.finish(new Verdict.MayHaveRun(ErrorCode.CANCELLED));
+    List<Verdict> verdicts = new ArrayList<>();
+    running.onEnd(verdicts::add);
+    running.cancel();
+    waiting.cancel();
+    assertEquals(List.of(new Verdict.MayHaveRun(ErrorCode.CANCELLED)), verdicts);
     assertEquals(1, abandoned);
     assertEquals("0", h.timers.dump(h.clock.getAsLong()).lines().get(0).value());
   }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/request/Exchange.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/request/Exchange.java
@@ -178,8 +178,13 @@
     refuse(new Verdict.NotRun(code));
   }
 
+  /** Ends the exchange because the caller disconnected, unless it has ended. */
+  public void cancel() {
+    finish(withPossibleRuns(new Verdict.NotRun(ErrorCode.CANCELLED)));
+  }
+
   /**
-   * Ends the exchange because its response was sent to the caller, or the caller disconnected.
+   * Ends the exchange because its response was sent to the caller.
    *
    * @param verdict whether the request ran, as far as is known
    * @return false if the exchange had already ended
