--- a/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/internal/http/CallerServerTest.java
+++ b/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/internal/http/CallerServerTest.java
@@ -10,10 +10,13 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.condition.EnabledOnOs;
+import org.junit.jupiter.api.condition.OS;
 import org.pomelohollow.daemon.protocol.InboundRequest;
 import org.pomelohollow.daemon.protocol.SimpleResponses;
 import org.pomelohollow.daemon.settings.Settings;
@@ -24,6 +27,11 @@
   private static final String LOOPBACK = "127.0.0.1";
   private static final int TIMEOUT_MILLIS = 5_000;
   private static final int ARRIVAL_MILLIS = 50;
+  private static final int PIPELINED = 64;
+
+  /** Time within which work for a caller that has left must end, in milliseconds. */
+  private static final int CANCEL_MILLIS = 500;
+
   private static final String REQUEST = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
 
   private final LoopResources loops = LoopResources.create("caller-server-test", 1, true);
@@ -124,6 +132,25 @@
     }
   }
 
+  @Test
+  void aCallerThatLeavesWhileReadingIsPausedEndsItsRequests() throws Exception {
+    CountDownLatch ended = new CountDownLatch(PIPELINED);
+    try (Socket s = connect()) {
+      send(s, REQUEST.repeat(PIPELINED + 1));
+      for (int i = 0; i < PIPELINED; i++) {
+        InboundRequest r = next();
+        onLoop(() -> r.onDisconnect(ended::countDown));
+      }
+    }
+    assertTrue(ended.await(CANCEL_MILLIS, TimeUnit.MILLISECONDS), ended + " still run");
+  }
+
+  @Test
+  @EnabledOnOs(OS.LINUX)
+  void theNativeTransportIsThereForThisKindOfMachine() {
+    assertTrue(LoopResources.hasNativeSupport());
+  }
+
   private Socket connect() throws IOException {
     Socket s = new Socket(InetAddress.getLoopbackAddress(), server.address().port());
     s.setSoTimeout(TIMEOUT_MILLIS);
