Do not start a request whose caller has already left

Cause: a request was started from within the read that delivered it, so a daemon that lags sent it to a target, and read the end of the connection after it. Class: acting on the first of several messages that have arrived, before the one that revokes it is read.

A request is started after all input that has arrived was processed, and ends as CANCELLED if its connection was closed by then.

CallerServerTest.aRequestThatIsReadAfterItsCallerHasLeftIsNotStarted failed before (the request was started) and passes now.

--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/EntryPoint.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/EntryPoint.java
@@ -142,7 +142,9 @@
           unregister.run();
           observer.requestEnded(x, v, clock.getAsLong());
         });
-    node.orElseThrow().start(x);
+    if (!x.hasEnded()) {
+      node.orElseThrow().start(x);
+    }
   }
 
   private static RequestHead head(
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/InboundConnection.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/InboundConnection.java
@@ -135,6 +135,11 @@
     ctx.close();
   }
 
+  /** Returns whether the connection is open, as far as this side has read. */
+  boolean isOpen() {
+    return ctx.channel().isActive();
+  }
+
   /** Sends the responses that are available, in the order of their requests. */
   void sendReadyResponses() {
     while (!sending && !pending.isEmpty() && pending.peek().responseHead().isPresent()) {
@@ -206,7 +211,8 @@
     if (!HttpUtil.isKeepAlive(r)) {
       closing = reader == null;
     }
-    handler.handle(p);
+    // Starts it once the end of the connection has been read too, if that arrived with it.
+    ctx.executor().execute(() -> handler.handle(p));
   }
 
   /**
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/PendingResponse.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/PendingResponse.java
@@ -68,7 +68,7 @@
 
   @Override
   public void onDisconnect(Runnable r) {
-    if (ended) {
+    if (ended || !connection.isOpen()) {
       r.run();
     } else {
       goneCallbacks.add(r);
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/protocol/InboundRequest.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/protocol/InboundRequest.java
@@ -36,7 +36,8 @@
   void abort();
 
   /**
-   * Registers a callback for a caller that disconnects before the response has been sent.
+   * Registers a callback for a caller that disconnects before the response has been sent. It runs
+   * at once if the caller has disconnected.
    *
    * @param r the callback, run at most once
    */
--- a/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/internal/http/CallerServerTest.java
+++ b/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/internal/http/CallerServerTest.java
@@ -5,6 +5,7 @@
 
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -13,6 +14,8 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.condition.EnabledOnOs;
@@ -36,6 +39,7 @@
 
   private final LoopResources loops = LoopResources.create("caller-server-test", 1, true);
   private final BlockingQueue<InboundRequest> received = new LinkedBlockingQueue<>();
+  private final AtomicInteger leftBeforeStart = new AtomicInteger();
   private final InboundServer server =
       InboundServer.start(
           new Endpoint(LOOPBACK, 0),
@@ -43,7 +47,7 @@
           Settings.Limits.DEFAULT,
           () -> false,
           () -> {},
-          received::add);
+          this::receive);
 
   @AfterEach
   void close() {
@@ -132,6 +136,20 @@
     }
   }
 
+  @Test
+  void aRequestThatIsReadAfterItsCallerHasLeftIsNotStarted() throws Exception {
+    onLoop(
+        () -> {
+          try (Socket s = connect()) {
+            send(s, REQUEST);
+          } catch (IOException e) {
+            throw new UncheckedIOException(e);
+          }
+        });
+    next();
+    assertEquals(1, leftBeforeStart.get());
+  }
+
   @Test
   void aCallerThatLeavesWhileReadingIsPausedEndsItsRequests() throws Exception {
     CountDownLatch ended = new CountDownLatch(PIPELINED);
@@ -151,6 +169,13 @@
     assertTrue(LoopResources.hasNativeSupport());
   }
 
+  private void receive(InboundRequest in) {
+    AtomicBoolean starting = new AtomicBoolean(true);
+    in.onDisconnect(() -> leftBeforeStart.addAndGet(starting.get() ? 1 : 0));
+    starting.set(false);
+    received.add(in);
+  }
+
   private Socket connect() throws IOException {
     Socket s = new Socket(InetAddress.getLoopbackAddress(), server.address().port());
     s.setSoTimeout(TIMEOUT_MILLIS);
