Do not start an attempt whose cancellation has already arrived

Cause: a link started an attempt from within the read that delivered it; at a target's daemon that lags, the RESET stands behind it in the same read, and the target got the request and a closed connection.

The attempts of one read start after all its frames were processed.

CancelledAttemptTest.anAttemptThatIsReadTogetherWithItsCancellationIsNotStarted failed before (2 attempts started, 1 wanted) and passes now. The test's pair of links is shared with SilentLinkTest, whose checks are unchanged.

--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/link/Link.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/link/Link.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -37,6 +38,7 @@
   private final LinkListener listener;
   private final AttemptHandler handler;
   private final Map<Long, LinkStream> streams = new HashMap<>();
+  private final List<ServerStream> unstarted = new ArrayList<>();
   private Channel channel;
   private long nextStream;
   private long highestPeerStream;
@@ -163,6 +165,7 @@
 
   @Override
   public void channelReadComplete(ChannelHandlerContext ctx) {
+    startAttempts();
     reading = false;
     ctx.flush();
   }
@@ -235,9 +238,16 @@
     }
     highestPeerStream = f.stream();
     AttemptHead head = codec.decode(AttemptHead.class, f.takeBytes());
-    ServerStream s = new ServerStream(this, f.stream(), codec);
+    ServerStream s = new ServerStream(this, f.stream(), codec, head);
     streams.put(f.stream(), s);
-    s.start(head, handler);
+    unstarted.add(s);
+  }
+
+  /** Starts the attempts that were received and not reset since. */
+  private void startAttempts() {
+    List<ServerStream> all = List.copyOf(unstarted);
+    unstarted.clear();
+    all.forEach(s -> s.start(handler));
   }
 
   private boolean wasOpened(long id) {
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/link/ServerStream.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/link/ServerStream.java
@@ -19,20 +19,26 @@
   private final long id;
   private final WireCodec codec;
   private final StreamBodies bodies;
+  private final AttemptHead head;
+  private final Flux<ByteBuf> requestBody;
   private Runnable cancelAttempt = () -> {};
   private boolean ended;
 
-  ServerStream(Link link, long id, WireCodec codec) {
+  ServerStream(Link link, long id, WireCodec codec, AttemptHead head) {
     this.link = link;
     this.id = id;
     this.codec = codec;
     this.bodies = new StreamBodies(link, id);
+    this.head = head;
+    this.requestBody =
+        head.streamedLength().isPresent() ? bodies.createReceiver(true).flux() : Flux.empty();
   }
 
-  void start(AttemptHead head, AttemptHandler handler) {
-    Flux<ByteBuf> body =
-        head.streamedLength().isPresent() ? bodies.createReceiver(true).flux() : Flux.empty();
-    cancelAttempt = handler.startAttempt(head, body, this);
+  /** Starts the attempt, unless the entry daemon has reset the stream. */
+  void start(AttemptHandler handler) {
+    if (!ended) {
+      cancelAttempt = handler.startAttempt(head, requestBody, this);
+    }
   }
 
   @Override
