Send the next try of a refused request on another connection

Cause: the identifier of a request was taken for one of the try. A connection keeps the requests that were refused on it and is not used for them again; after 64 refusals it is closed. A copy that arrives while nothing is sent still closes it.

PlatformPathTest.aSecondCopyOfARefusalDoesNotAnswerTheNextTryOfItsRequest failed before (503, three requests received, one copy) and passes now.

--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetClient.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetClient.java
@@ -12,6 +12,7 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
@@ -131,14 +132,20 @@
     }
   }
 
-  private Optional<TargetConnection> takeIdle() {
+  /** Takes the connection that was used last, of those that can carry a request. */
+  private Optional<TargetConnection> takeIdle(String requestId) {
     long now = System.nanoTime();
-    while (!idle.isEmpty()) {
-      TargetConnection c = idle.removeLast();
-      if (c.isUsable() && now - c.idleSinceNanos() < MAX_IDLE_NANOS) {
+    Iterator<TargetConnection> latestFirst = idle.descendingIterator();
+    while (latestFirst.hasNext()) {
+      TargetConnection c = latestFirst.next();
+      boolean usable = c.isUsable() && now - c.idleSinceNanos() < MAX_IDLE_NANOS;
+      if (!usable) {
+        latestFirst.remove();
+        c.close();
+      } else if (!c.hasRefused(requestId)) {
+        latestFirst.remove();
         return Optional.of(c);
       }
-      c.close();
     }
     return Optional.empty();
   }
@@ -186,7 +193,7 @@
     }
 
     void start() {
-      Optional<TargetConnection> reused = takeIdle();
+      Optional<TargetConnection> reused = takeIdle(exchange.requestId());
       if (reused.isPresent()) {
         send(reused.get());
         return;
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetConnection.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetConnection.java
@@ -12,7 +12,9 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.pomelohollow.daemon.protocol.TargetProtocol;
 import org.pomelohollow.decision.TargetAnnouncement;
@@ -30,6 +32,10 @@
   /** Bytes of responses to other requests, above which the connection is closed. */
   private static final long MAX_SKIPPED_BYTES = 1 << 20;
 
+  /** Refused requests, above which the connection is closed. */
+  private static final int MAX_REFUSED = 64;
+
+  private final Set<String> refusedRequests = new HashSet<>();
   private final TargetResponseDecoder decoder;
   private final Consumer<TargetConnection> onReusable;
   private final Runnable onMisdirected;
@@ -76,6 +82,16 @@
     return channel.isActive() && !unusable && exchange.isEmpty();
   }
 
+  /**
+   * Returns whether the target has refused a request on this connection. It may send a late copy of
+   * that refusal, which would look like the response to the next try of the request.
+   *
+   * @param requestId identifier of the request
+   */
+  boolean hasRefused(String requestId) {
+    return refusedRequests.contains(requestId);
+  }
+
   /** Returns when the last exchange ended, as monotonic time in nanoseconds. */
   long idleSinceNanos() {
     return idleSinceNanos;
@@ -211,6 +227,9 @@
     }
     TargetExchange x = exchange.orElseThrow();
     exchange = Optional.empty();
+    if (!(meaning instanceof TargetProtocol.ResponseKind.Valid)) {
+      refusedRequests.add(x.requestId());
+    }
     onEnd.run();
     bodySubscription.dispose();
     channel.config().setAutoRead(true); // May be paused while the caller reads the last parts.
@@ -222,7 +241,7 @@
       // The target would take the next request for the rest of this request's body.
       Logger.info("target: response precedes the end of its request, closing the connection");
       close();
-    } else if (keepAlive && channel.isActive()) {
+    } else if (keepAlive && channel.isActive() && refusedRequests.size() < MAX_REFUSED) {
       onReusable.accept(this);
     } else {
       close();
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetExchange.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetExchange.java
@@ -93,6 +93,10 @@
     return head.streamedLength().map(n -> body);
   }
 
+  String requestId() {
+    return context.requestId();
+  }
+
   boolean isEnded() {
     return ended;
   }
