--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/Daemon.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/Daemon.java
@@ -5,6 +5,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.pomelohollow.daemon.internal.call.AttemptHandler;
@@ -187,6 +188,7 @@
   public void close() {
     logPump.stop();
     documentSubscription.dispose();
+    closeTargetClient();
     links.close();
     Stream.of(callerServer, targetServer).filter(Objects::nonNull).forEach(InboundServer::close);
     disposeServer(adminServer);
@@ -195,6 +197,14 @@
     metrics.close();
   }
 
+  private void closeTargetClient() {
+    try {
+      loop.schedule(targetClient::close);
+    } catch (RejectedExecutionException e) {
+      Logger.debug("daemon: already closed: {}", e.toString());
+    }
+  }
+
   private void listen() {
     int peerPort = links.listen(settings.listen().peer());
     Endpoint peer = new Endpoint(settings.listen().peer().address(), peerPort);
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetClient.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetClient.java
@@ -56,6 +56,7 @@
   private final Deque<TargetConnection> idle = new ArrayDeque<>();
   private final Set<ActiveExchange> running = new LinkedHashSet<>();
   private Optional<TargetAnnouncement> target = Optional.empty();
+  private boolean closed;
 
   /**
    * Creates a client without a target.
@@ -93,6 +94,16 @@
     target = Optional.empty();
   }
 
+  /**
+   * Closes all connections. Running exchanges fail, and no request is sent from then on: a freed
+   * slot would start the next one, only to be cut.
+   */
+  public void close() {
+    closed = true;
+    closeIdle();
+    List.copyOf(running).forEach(ActiveExchange::close);
+  }
+
   /**
    * Sends a request to the target.
    *
@@ -108,6 +119,10 @@
       Flux<ByteBuf> body,
       TargetExchangeListener listener) {
     TargetExchange x = new TargetExchange(head, context, body, protocol, listener);
+    if (closed) {
+      loop.execute(() -> x.fail(false, ErrorCode.DRAINING, "the daemon closes"));
+      return x::cancel;
+    }
     if (target.isEmpty()) {
       loop.execute(() -> x.fail(false, ErrorCode.NO_TARGET, "no target has announced itself"));
       return x::cancel;
@@ -156,7 +171,7 @@
   }
 
   private void releaseConnection(TargetConnection c, TargetAnnouncement to) {
-    if (target.filter(to::isSameIncarnation).isPresent()) {
+    if (!closed && target.filter(to::isSameIncarnation).isPresent()) {
       idle.addLast(c);
     } else {
       c.close();
@@ -212,6 +227,12 @@
       exchange.fail(connection.isPresent(), ErrorCode.DEADLINE_EXCEEDED, "deadline passed");
     }
 
+    void close() {
+      running.remove(this);
+      connection.ifPresent(c -> c.cancel(exchange));
+      exchange.fail(connection.isPresent(), ErrorCode.CONNECTION_LOST, "the daemon closes");
+    }
+
     void cancel() {
       running.remove(this);
       exchange.cancel();
