Use an idle connection only as long as its target's Keep-Alive allows

Cause: the field was not read, the limit was 5 s for all targets.

TargetConnectionTest.aConnectionIsNotUsedAfterTheIdleTimeoutThatItsTargetNames fails with the field left unread and passes with it.

--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetClient.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetClient.java
@@ -35,12 +35,6 @@
 public final class TargetClient {
   private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
 
-  /**
-   * Idle time after which a connection is not used again. Targets close connections that were idle
-   * for more than 10 s; half of that avoids sending on a connection that is being closed.
-   */
-  private static final long MAX_IDLE_NANOS = Duration.ofSeconds(5).toNanos();
-
   private static final int MAX_HEADER_BYTES = 64 * 1024;
   private static final int MAX_CHUNK_BYTES = 64 * 1024;
   private static final HttpDecoderConfig DECODER_CONFIG =
@@ -153,8 +147,7 @@
     Iterator<TargetConnection> latestFirst = idle.descendingIterator();
     while (latestFirst.hasNext()) {
       TargetConnection c = latestFirst.next();
-      boolean usable = c.isUsable() && now - c.idleSinceNanos() < MAX_IDLE_NANOS;
-      if (!usable) {
+      if (!c.isUsable(now)) {
         latestFirst.remove();
         c.close();
       } else if (!c.hasRefused(requestId)) {
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetConnection.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetConnection.java
@@ -50,6 +50,7 @@
   private boolean keepAlive;
   private boolean unusable;
   private long idleSinceNanos;
+  private long idleLimitNanos = IdleLimit.DEFAULT.toNanos();
 
   /**
    * Creates a connection.
@@ -77,9 +78,17 @@
     return decoder;
   }
 
-  /** Returns whether the connection is open and can carry another request. */
-  boolean isUsable() {
-    return channel.isActive() && !unusable && exchange.isEmpty();
+  /**
+   * Returns whether the connection is open, can carry another request and was not idle for too
+   * long.
+   *
+   * @param nowNanos current monotonic time, in nanoseconds
+   */
+  boolean isUsable(long nowNanos) {
+    return channel.isActive()
+        && !unusable
+        && exchange.isEmpty()
+        && nowNanos - idleSinceNanos < idleLimitNanos;
   }
 
   /**
@@ -92,11 +101,6 @@
     return refusedRequests.contains(requestId);
   }
 
-  /** Returns when the last exchange ended, as monotonic time in nanoseconds. */
-  long idleSinceNanos() {
-    return idleSinceNanos;
-  }
-
   void close() {
     unusable = true;
     channel.close();
@@ -188,6 +192,7 @@
     }
     receiving = true;
     keepAlive = HttpUtil.isKeepAlive(r);
+    idleLimitNanos = IdleLimit.after(r.headers()).toNanos();
     meaning = exchange.orElseThrow().interpretHead(r);
     if (meaning instanceof TargetProtocol.ResponseKind.Malformed) {
       fail(ErrorCode.ANSWER_MALFORMED, "response failed the protocol's checks");
--- a/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/internal/call/TargetConnectionTest.java
+++ b/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/internal/call/TargetConnectionTest.java
@@ -7,9 +7,11 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -51,6 +53,24 @@
     assertEquals("200 ok", recorder.outcome);
   }
 
+  @Test
+  void aConnectionIsNotUsedAfterTheIdleTimeoutThatItsTargetNames() {
+    send(Optional.empty(), Flux.empty());
+    receive(RESPONSE.replace("Content-Length", "Keep-Alive: timeout=2, max=9\r\nContent-Length"));
+    long end = System.nanoTime();
+    assertTrue(connection.isUsable(end));
+    assertFalse(connection.isUsable(end + Duration.ofSeconds(1).toNanos()));
+  }
+
+  @Test
+  void aKeepAliveFieldWithoutATimeoutChangesNothing() {
+    for (String value : List.of("", "max=9", "timeout=", "timeout=99999999", "mytimeout=1")) {
+      assertEquals(
+          IdleLimit.DEFAULT, IdleLimit.after(new DefaultHttpHeaders().set("Keep-Alive", value)));
+    }
+    assertEquals(IdleLimit.DEFAULT, IdleLimit.after(new DefaultHttpHeaders()));
+  }
+
   /**
    * A target may respond before it has read a long body. The bytes of the next request would then
    * be read as the rest of that body.
