--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/Daemon.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/Daemon.java
@@ -17,7 +17,6 @@
 import org.pomelohollow.daemon.internal.http.EntryPoint;
 import org.pomelohollow.daemon.internal.http.HttpServers;
 import org.pomelohollow.daemon.internal.http.InboundServer;
-import org.pomelohollow.daemon.internal.io.LineBudget;
 import org.pomelohollow.daemon.internal.link.PeerLinkListener;
 import org.pomelohollow.daemon.internal.link.PeerLinks;
 import org.pomelohollow.daemon.internal.log.LogPoller;
@@ -55,7 +54,6 @@
   private static final Duration LIVENESS_CHECK_INTERVAL = Duration.ofSeconds(1);
 
   private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(5);
-  private static final long NANOS_PER_MILLI = 1_000_000;
 
   private final Settings settings;
   private final LoopResources loops = LoopResources.create("pomelohollow", 1, true);
@@ -63,7 +61,7 @@
   private final WireCodec codec = new WireCodec();
   private final DaemonMetrics metrics = new DaemonMetrics();
   private final RequestLog requestLog = new RequestLog(this::configurationChange);
-  private final LineBudget cancellationLines = new LineBudget();
+  private final CancellationLog cancellationLog = new CancellationLog(metrics);
   private final TargetNoticeCache notices = new TargetNoticeCache();
   private final TargetRequestRegistry runningRequests = new TargetRequestRegistry();
   private final Deployment deployment;
@@ -276,18 +274,7 @@
 
   private LocalAttemptHandler targetSide() {
     return new LocalAttemptHandler(
-        node, targetClient, runningRequests, System::nanoTime, this::attemptCancelled);
-  }
-
-  private void attemptCancelled(String requestId, Optional<Long> sentNanos, long nowNanos) {
-    metrics.recordCancelledAttempt(sentNanos.isPresent());
-    if (cancellationLines.trySpend(nowNanos)) {
-      Logger.info(
-          "target: {} cancelled by its entry daemon, sent_ms={} lines_dropped={}",
-          requestId,
-          sentNanos.map(n -> Long.toString((nowNanos - n) / NANOS_PER_MILLI)).orElse("-"),
-          cancellationLines.takeDropped());
-    }
+        node, targetClient, runningRequests, System::nanoTime, cancellationLog);
   }
 
   private void scheduleEvery(Duration d, Runnable r) {
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/DaemonMetrics.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/DaemonMetrics.java
@@ -21,6 +21,8 @@
   private final PrometheusMeterRegistry registry =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
 
+  private final Timer loopDelay = registry.timer("pomelohollow.loop.delay");
+  private final Counter pausedReading = registry.counter("pomelohollow.callers.paused");
   private final Map<String, Timer> requestTimers = new HashMap<>();
   private final Map<String, Counter> messageCounters = new HashMap<>();
 
@@ -74,11 +76,11 @@
   }
 
   void recordPausedReading() {
-    registry.counter("pomelohollow.callers.paused").increment();
+    pausedReading.increment();
   }
 
   void recordLoopDelay(long delayNanos) {
-    registry.timer("pomelohollow.loop.delay").record(delayNanos, TimeUnit.NANOSECONDS);
+    loopDelay.record(delayNanos, TimeUnit.NANOSECONDS);
   }
 
   void recordRejectedLink() {
