Count the time limit of a request from when it was read

Guarded by CallerServerTest.theTimeLimitOfARequestCountsTheTimeThatItWaitsForOthersReadWithIt, which fails if the time of the call is reported instead of that of the read.

--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/EntryPoint.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/EntryPoint.java
@@ -130,7 +130,7 @@
   private void startExchange(
       InboundRequest in, CallerRequest r, String id, Optional<RequestContext> parent) {
     CallerExchange c = new CallerExchange(in, protocol, id, r.fieldsForTarget());
-    Exchange x = new Exchange(head(in, r, id, parent), clock.getAsLong(), c);
+    Exchange x = new Exchange(head(in, r, id, parent), in.receivedNanos(), c);
     exchanges.put(id, c);
     Runnable cancel = x::cancel;
     Runnable unregister =
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/InboundConnection.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/InboundConnection.java
@@ -206,7 +206,7 @@
   }
 
   private void startRequest(HttpRequest r, RequestBody body) {
-    PendingResponse p = new PendingResponse(this, r, body);
+    PendingResponse p = new PendingResponse(this, r, body, lastActivityNanos);
     pending.add(p);
     if (!HttpUtil.isKeepAlive(r)) {
       closing = reader == null;
@@ -226,7 +226,8 @@
         r.decoderResult().cause().toString());
     FullHttpResponse a = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status);
     a.headers().set(HttpHeaderNames.CONTENT_LENGTH, "0");
-    PendingResponse p = new PendingResponse(this, r, RequestBody.buffered(new byte[0]));
+    PendingResponse p =
+        new PendingResponse(this, r, RequestBody.buffered(new byte[0]), lastActivityNanos);
     closing = true;
     pending.add(p);
     p.respond(a);
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/PendingResponse.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/PendingResponse.java
@@ -19,12 +19,15 @@
   private final InboundConnection connection;
   private final HttpRequest head;
   private final RequestBody body;
+  private final long receivedNanos;
   private final List<Runnable> goneCallbacks = new ArrayList<>();
   private Optional<HttpResponse> response = Optional.empty();
   private Optional<Flux<ByteBuf>> content = Optional.empty();
   private boolean ended;
 
-  PendingResponse(InboundConnection connection, HttpRequest head, RequestBody body) {
+  PendingResponse(
+      InboundConnection connection, HttpRequest head, RequestBody body, long receivedNanos) {
+    this.receivedNanos = receivedNanos;
     this.connection = connection;
     this.head = head;
     this.body = body;
@@ -40,6 +43,11 @@
     return body;
   }
 
+  @Override
+  public long receivedNanos() {
+    return receivedNanos;
+  }
+
   @Override
   public void respond(FullHttpResponse r) {
     if (ended || response.isPresent()) {
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/protocol/InboundRequest.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/protocol/InboundRequest.java
@@ -23,6 +23,12 @@
    */
   void respond(FullHttpResponse r);
 
+  /**
+   * Returns when the request was read, as monotonic time in nanoseconds. It may have waited since
+   * then, so its time limit counts from here.
+   */
+  long receivedNanos();
+
   /**
    * Sends a response with a streamed body. If the body ends with an error, the connection is closed
    * so that the response does not look complete.
--- a/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/internal/http/CallerServerTest.java
+++ b/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/internal/http/CallerServerTest.java
@@ -10,7 +10,9 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -40,6 +42,7 @@
   private final LoopResources loops = LoopResources.create("caller-server-test", 1, true);
   private final BlockingQueue<InboundRequest> received = new LinkedBlockingQueue<>();
   private final AtomicInteger leftBeforeStart = new AtomicInteger();
+  private final List<Long> startedNanos = new CopyOnWriteArrayList<>();
   private final InboundServer server =
       InboundServer.start(
           new Endpoint(LOOPBACK, 0),
@@ -150,6 +153,16 @@
     assertEquals(1, leftBeforeStart.get());
   }
 
+  @Test
+  void theTimeLimitOfARequestCountsTheTimeThatItWaitsForOthersReadWithIt() throws Exception {
+    try (Socket s = connect()) {
+      send(s, REQUEST + REQUEST);
+      next();
+      long firstStartedNanos = startedNanos.get(0);
+      assertTrue(next().receivedNanos() - firstStartedNanos <= 0);
+    }
+  }
+
   @Test
   void aCallerThatLeavesWhileReadingIsPausedEndsItsRequests() throws Exception {
     CountDownLatch ended = new CountDownLatch(PIPELINED);
@@ -170,6 +183,7 @@
   }
 
   private void receive(InboundRequest in) {
+    startedNanos.add(System.nanoTime());
     AtomicBoolean starting = new AtomicBoolean(true);
     in.onDisconnect(() -> leftBeforeStart.addAndGet(starting.get() ? 1 : 0));
     starting.set(false);
