Close the connection of a request that cannot be handled

Since requests start after the read that delivered them, an exception of their handler no longer reached the connection: the event loop logged it, and the caller waited for its time limit. The connection is closed again, and the cause is logged.

CallerServerTest.aRequestThatCannotBeHandledClosesItsConnection timed out before and passes now.

--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/InboundConnection.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/InboundConnection.java
@@ -212,7 +212,16 @@
       closing = reader == null;
     }
     // Starts it once the end of the connection has been read too, if that arrived with it.
-    ctx.executor().execute(() -> handler.handle(p));
+    ctx.executor().execute(() -> handle(p));
+  }
+
+  private void handle(PendingResponse p) {
+    try {
+      handler.handle(p);
+    } catch (RuntimeException e) {
+      Logger.warn(e, "callers: closing the connection, a request could not be handled");
+      close();
+    }
   }
 
   /**
--- a/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/internal/http/CallerServerTest.java
+++ b/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/internal/http/CallerServerTest.java
@@ -37,6 +37,7 @@
   /** Time within which work for a caller that has left must end, in milliseconds. */
   private static final int CANCEL_MILLIS = 500;
 
+  private static final String FAILING_PATH = "/fails";
   private static final String REQUEST = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
 
   private final LoopResources loops = LoopResources.create("caller-server-test", 1, true);
@@ -153,6 +154,14 @@
     assertEquals(1, leftBeforeStart.get());
   }
 
+  @Test
+  void aRequestThatCannotBeHandledClosesItsConnection() throws Exception {
+    try (Socket s = connect()) {
+      send(s, REQUEST.replace("/x", FAILING_PATH));
+      assertEquals(-1, s.getInputStream().read());
+    }
+  }
+
   @Test
   void theTimeLimitOfARequestCountsTheTimeThatItWaitsForOthersReadWithIt() throws Exception {
     try (Socket s = connect()) {
@@ -187,6 +196,9 @@
     AtomicBoolean starting = new AtomicBoolean(true);
     in.onDisconnect(() -> leftBeforeStart.addAndGet(starting.get() ? 1 : 0));
     starting.set(false);
+    if (in.head().uri().equals(FAILING_PATH)) {
+      throw new IllegalStateException("fails for the test");
+    }
     received.add(in);
   }
 
