--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -5,4 +5,4 @@
   echo "build by the deploy file and by review/build.sh first"
   exit 2
 fi
-exec java -Xmx512m -Dtinylog.level=off -cp target/pomelohollow.jar:review/target "$1" . "$2"
+exec java $JAVA_ARGS -Xmx512m -Dtinylog.level=off -cp target/pomelohollow.jar:review/target "$1" . "$2"
