--- a/review/standins/Config.java
+++ b/review/standins/Config.java
@@ -6,10 +6,15 @@
   private Config() {}
 
   static String route(String name, String prefix, String kind, String service) {
+    return route(name, prefix, kind, service, 3_000);
+  }
+
+  static String route(
+      String name, String prefix, String kind, String service, int timeoutMillis) {
     return ("{\"type_url\":\"routes\",\"metadata\":{\"name\":\"%s\"},\"spec\":{\"host\":\"%s\","
-            + "\"path_prefix\":\"%s\",\"kind\":\"%s\",\"timeout\":\"3s\",\"target_latency\":\"1s\","
+            + "\"path_prefix\":\"%s\",\"kind\":\"%s\",\"timeout\":\"%dms\",\"target_latency\":\"1s\","
             + "\"priority\":1,\"service\":\"%s\",\"attempts\":2,\"public\":false}}")
-        .formatted(name, Client.HOST, prefix, kind, service);
+        .formatted(name, Client.HOST, prefix, kind, timeoutMillis, service);
   }
 
   static String service(String name) {
