--- a/review/standins/Upstream.java
+++ b/review/standins/Upstream.java
@@ -40,6 +40,7 @@
   private volatile int life;
   private volatile long workMillis = 20;
   private volatile int answerBytes = 2;
+  private volatile int longestBody = Integer.MAX_VALUE;
   private volatile Predicate<Run> crashesOn = r -> false;
   private volatile long downMillis = 3_000;
 
@@ -61,6 +62,11 @@
     answerBytes = n;
   }
 
+  /** Rejects requests with a longer body as soon as it has read their heads. */
+  void setLongestBody(int bytes) {
+    longestBody = bytes;
+  }
+
   /** Requests that crash the upstream, and the time until it is back. */
   void crashOn(Predicate<Run> p, long millis) {
     crashesOn = p;
@@ -188,8 +194,16 @@
       while (true) {
         String[] words = Client.Http.readLine(in).split(" ");
         Map<String, String> h = Client.Http.readHeaders(in);
-        in.readNBytes(Integer.parseInt(h.getOrDefault("content-length", "0")));
+        int length = Integer.parseInt(h.getOrDefault("content-length", "0"));
         String requestId = h.getOrDefault("request-id", "");
+        if (length > longestBody) {
+          log.line(name, "rejects " + requestId + " before its body is in");
+          out.write(answer("413 Content Too Large", requestId, "Response-Signature: 0.2\r\n", 2));
+          out.flush();
+          in.readNBytes(length);
+          continue;
+        }
+        in.readNBytes(length);
         if (!h.getOrDefault("expect-instance", id).equals(id)) {
           out.write(answer("421 Misdirected Request", requestId, "Not-Executed: 1\r\n", 0));
           continue;
