--- a/review/standins/Daemons.java
+++ b/review/standins/Daemons.java
@@ -1,4 +1,5 @@
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
@@ -8,6 +9,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -16,6 +20,10 @@
   private static final Pattern PLACEHOLDER = Pattern.compile("\\{\\{([^{}]+)}}");
   private static final Pattern ZONES = Pattern.compile("\\{\\{#zones}}.*?\\{\\{/zones}}");
 
+  private static final int LOWEST_PORT = 12_000;
+  private static final int HIGHEST_PORT = 32_000;
+  private static final Set<Integer> USED_PORTS = ConcurrentHashMap.newKeySet();
+
   private final Path repository;
   private final Path folder;
   private final Log log;
@@ -66,10 +74,22 @@
     return m.group(1);
   }
 
+  /**
+   * Returns a free port below the range from which the system takes the ports of outgoing
+   * connections, so that none of those takes it before it is bound, or while its process restarts.
+   */
   static int freePort() throws IOException {
-    try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-      return s.getLocalPort();
+    for (int i = 0; i < 1_000; i++) {
+      int port = ThreadLocalRandom.current().nextInt(LOWEST_PORT, HIGHEST_PORT);
+      try (ServerSocket s = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+        if (USED_PORTS.add(port)) {
+          return port;
+        }
+      } catch (BindException e) {
+        // Taken by another process: tries the next one.
+      }
     }
+    throw new IOException("no free port");
   }
 
   /** One daemon and the addresses of its machine. */
