--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,2 +1,2 @@
 #!/bin/sh
-exec "$(dirname "$0")/../run-case.sh" PoisonCase review/2
+exec "$(dirname "$0")/../run-case.sh" SilentStoreCase review/2
--- /dev/null
+++ b/review/standins/LostSlotsCase.java
@@ -0,0 +1,96 @@
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** An upstream crashes while its daemon is paused for a second, and both come back. */
+final class LostSlotsCase extends Case {
+  private static final int BURST = 34;
+  private static final long PAUSE_MILLIS = 1_000;
+  private static final long DOWN_MILLIS = 2_000;
+  private static final long RECOVER_MILLIS = 15_000;
+  private static final int REQUESTS = 100;
+  private static final double LEAST_SHARE = 0.25;
+
+  public static void main(String[] args) throws Exception {
+    run(new LostSlotsCase(), List.of("zone-a", "zone-b"), args);
+  }
+
+  @Override
+  int play() throws Exception {
+    store.writeAsOperator("config", configuration(1, false), log);
+    Daemons.Daemon a = daemons.start("host-a", "stock", "zone-a");
+    Daemons.Daemon b = daemons.start("host-b", "orders", "zone-b");
+    awaitReady(a, b);
+    new Upstream(log, "stock-up", "stock", "zone-a", a.control);
+    Upstream orders = new Upstream(log, "orders-up", "orders", "zone-b", b.control);
+    orders.setWorkMillis(100);
+    Threads.sleep(7_000);
+    for (int i = 0; i < 3; i++) {
+      if (sendAtOnce(a, "/orders/1", BURST) < BURST / 2) {
+        log.result("requests were not served before the disruption");
+        return NOT_RUN;
+      }
+    }
+    if (trouble) {
+      b.signal("STOP");
+      Threads.start(() -> sendAtOnce(a, "/orders/2", BURST));
+      Threads.sleep(PAUSE_MILLIS / 2);
+      orders.crashNow(DOWN_MILLIS);
+      Threads.sleep(PAUSE_MILLIS / 2);
+      b.signal("CONT");
+    } else {
+      sendAtOnce(a, "/orders/2", BURST);
+    }
+    Threads.sleep(RECOVER_MILLIS);
+    store.writeAsOperator("config", configuration(2, true), log);
+    Threads.sleep(3_000);
+    int added = 0;
+    int first = 0;
+    for (int i = 0; i < REQUESTS; i++) {
+      first += isServed(a, i % 2 == 0 ? "/stock/" + i : "/orders/" + i) ? 1 : 0;
+      added += isServed(a, "/orders-added/" + i) ? 1 : 0;
+      Threads.sleep(50);
+    }
+    log.result(
+        "of " + REQUESTS + " requests on the first routes " + first + " were served, of "
+            + REQUESTS + " on the route added later " + added);
+    return added < LEAST_SHARE * first ? BROKEN : HELD;
+  }
+
+  private boolean isServed(Daemons.Daemon at, String path) {
+    return Client.send(log, at.name, at.outbound, "POST", path, "key", 3_000).status() == 200;
+  }
+
+  /** Sends requests on as many connections; returns how many were served. */
+  private int sendAtOnce(Daemons.Daemon at, String path, int n) throws InterruptedException {
+    AtomicInteger served = new AtomicInteger();
+    Thread[] all = new Thread[n];
+    for (int i = 0; i < n; i++) {
+      String unique = path + "/" + i;
+      all[i] =
+          new Thread(
+              () -> {
+                if (isServed(at, unique)) {
+                  served.incrementAndGet();
+                }
+              });
+      all[i].start();
+    }
+    for (Thread t : all) {
+      t.join();
+    }
+    return served.get();
+  }
+
+  private static String configuration(int version, boolean withAddedRoute) {
+    String route = Config.route("orders", "/orders/", "unsafe", "orders");
+    String added = Config.route("orders-added", "/orders-added/", "unsafe", "orders");
+    return Config.version(
+        version,
+        List.of(
+            Config.route("stock", "/stock/", "unsafe", "stock"),
+            withAddedRoute ? route + "," + added : route,
+            Config.service("stock"),
+            Config.service("orders"),
+            Config.tenant("shop", 500, 500, "key")));
+  }
+}
--- a/review/standins/Upstream.java
+++ b/review/standins/Upstream.java
@@ -121,6 +121,12 @@
         });
   }
 
+  /** Crashes now, and is back after a time. */
+  void crashNow(long millis) throws IOException {
+    downMillis = millis;
+    crash(life);
+  }
+
   /** Stops heartbeats, as an upstream does that has deregistered. */
   void stopBeating() {
     beating = false;
