--- a/review/standins/LostSlotsCase.java
+++ b/review/standins/LostSlotsCase.java
@@ -1,10 +1,13 @@
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** An upstream crashes while its daemon is paused for a second, and both come back. */
+/** An upstream crashes while its daemon is paused for two seconds, and both come back. */
 final class LostSlotsCase extends Case {
-  private static final int BURST = 34;
-  private static final long PAUSE_MILLIS = 1_000;
+  private static final int BURST = 40;
+  private static final long BURST_WORK_MILLIS = 500;
+  private static final long WORK_MILLIS = 50;
+  private static final long PAUSE_BEFORE_CRASH_MILLIS = 1_600;
+  private static final long PAUSE_AFTER_CRASH_MILLIS = 400;
   private static final long DOWN_MILLIS = 2_000;
   private static final long RECOVER_MILLIS = 15_000;
   private static final int REQUESTS = 100;
@@ -22,7 +25,7 @@
     awaitReady(a, b);
     new Upstream(log, "stock-up", "stock", "zone-a", a.control);
     Upstream orders = new Upstream(log, "orders-up", "orders", "zone-b", b.control);
-    orders.setWorkMillis(100);
+    orders.setWorkMillis(BURST_WORK_MILLIS);
     Threads.sleep(7_000);
     for (int i = 0; i < 3; i++) {
       if (sendAtOnce(a, "/orders/1", BURST) < BURST / 2) {
@@ -33,13 +36,14 @@
     if (trouble) {
       b.signal("STOP");
       Threads.start(() -> sendAtOnce(a, "/orders/2", BURST));
-      Threads.sleep(PAUSE_MILLIS / 2);
+      Threads.sleep(PAUSE_BEFORE_CRASH_MILLIS);
       orders.crashNow(DOWN_MILLIS);
-      Threads.sleep(PAUSE_MILLIS / 2);
+      Threads.sleep(PAUSE_AFTER_CRASH_MILLIS);
       b.signal("CONT");
     } else {
       sendAtOnce(a, "/orders/2", BURST);
     }
+    orders.setWorkMillis(WORK_MILLIS);
     Threads.sleep(RECOVER_MILLIS);
     store.writeAsOperator("config", configuration(2, true), log);
     Threads.sleep(3_000);
