--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/Daemon.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/Daemon.java
@@ -239,7 +239,11 @@
             settings.limits().maxHeaderBytes(),
             settings.limits().idleTimeout(),
             admin::serve);
-    metrics.registerGauges(node.admission()::load, links::count, node.config()::version);
+    metrics.registerGauges(
+        node.admission()::load,
+        links::count,
+        node.config()::version,
+        () -> node.config().configAgeMillis(System.nanoTime()));
     handle(new Event.RosterChanged(node.membership().roster()));
     logPump.start();
     documentSubscription = deployment.followDocuments(loop, this::handle);
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/DaemonMetrics.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/DaemonMetrics.java
@@ -36,13 +36,19 @@
    * @param load load of the target
    * @param links number of open links
    * @param version version of the active configuration
+   * @param configAge time since that version was last known to be the newest, in milliseconds
    */
-  void registerGauges(Supplier<TargetLoad> load, Supplier<Number> links, Supplier<Number> version) {
+  void registerGauges(
+      Supplier<TargetLoad> load,
+      Supplier<Number> links,
+      Supplier<Number> version,
+      Supplier<Number> configAge) {
     registerGauge("pomelohollow.target.limit", () -> load.get().limit());
     registerGauge("pomelohollow.target.running", () -> load.get().inFlight());
     registerGauge("pomelohollow.target.queued", () -> load.get().queued());
     registerGauge("pomelohollow.links", links);
     registerGauge("pomelohollow.config.version", version);
+    registerGauge("pomelohollow.config.age.milliseconds", configAge);
   }
 
   void recordRequest(Verdict v, long durationNanos) {
