Ask the store for a newer configuration apart from the long poll

Cause: the only read of the operators' topic is a long poll of 25 s, and nothing else ends it than its time-out after 28 s. A silent connection gives no error, so each daemon waited for an answer that could not come, and none had news to gossip.

Change: ConfirmationSchedule decides when a daemon asks the store, on a connection of its own, whether its version is the newest. The first daemon in the order of a hash asks when its knowledge is 0.8 s old and tells its neighbours by their heartbeats, which carry the age of the knowledge already; the others ask when theirs is 1.3 to 1.6 s old, or when a peer has a version that their own long poll does not bring within 0.3 s. A record that comes so restarts the long poll. No call to the store uses an idle connection any more.

--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/Daemon.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/Daemon.java
@@ -21,6 +21,7 @@
 import org.pomelohollow.daemon.internal.link.PeerLinks;
 import org.pomelohollow.daemon.internal.log.LogPoller;
 import org.pomelohollow.daemon.protocol.Deployment;
+import org.pomelohollow.daemon.protocol.DocumentFeed;
 import org.pomelohollow.daemon.protocol.InboundHandler;
 import org.pomelohollow.daemon.settings.Settings;
 import org.pomelohollow.decision.Effect;
@@ -37,8 +38,6 @@
 import org.pomelohollow.model.Verdict;
 import org.pomelohollow.wire.WireCodec;
 import org.tinylog.Logger;
-import reactor.core.Disposable;
-import reactor.core.Disposables;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
 import reactor.core.scheduler.Schedulers;
@@ -75,7 +74,7 @@
   private InboundServer targetServer;
   private DisposableServer adminServer;
   private Optional<InboundServer> readinessServer = Optional.empty();
-  private Disposable documentSubscription = Disposables.disposed();
+  private DocumentFeed documents = DocumentFeed.NONE;
   private Node node;
   private boolean shuttingDown;
 
@@ -185,7 +184,7 @@
   @Override
   public void close() {
     logPump.stop();
-    documentSubscription.dispose();
+    documents.dispose();
     closeTargetClient();
     links.close();
     Stream.of(callerServer, targetServer).filter(Objects::nonNull).forEach(InboundServer::close);
@@ -246,7 +245,7 @@
         () -> node.config().configAgeMillis(System.nanoTime()));
     handle(new Event.RosterChanged(node.membership().roster()));
     logPump.start();
-    documentSubscription = deployment.followDocuments(loop, this::handle);
+    documents = deployment.followDocuments(loop, this::handle);
     LoopDelay delay = new LoopDelay(TICK_INTERVAL, System.nanoTime(), metrics::recordLoopDelay);
     scheduleEvery(TICK_INTERVAL, () -> tick(delay));
     scheduleEvery(LIVENESS_CHECK_INTERVAL, this::checkConnections);
@@ -316,6 +315,8 @@
       logPump.append(a.appendId(), a.stream(), a.entry());
     } else if (e instanceof Effect.SeekStream r) {
       logPump.seek(r.stream(), r.offset());
+    } else if (e instanceof Effect.ConfirmDocument) {
+      documents.confirm();
     } else if (e instanceof Effect.LogLine n) {
       writeLogLine(n);
     }
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/StandaloneDeployment.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/StandaloneDeployment.java
@@ -10,6 +10,7 @@
 import org.pomelohollow.daemon.internal.http.TargetServer;
 import org.pomelohollow.daemon.protocol.CallerProtocol;
 import org.pomelohollow.daemon.protocol.Deployment;
+import org.pomelohollow.daemon.protocol.DocumentFeed;
 import org.pomelohollow.daemon.protocol.InboundHandler;
 import org.pomelohollow.daemon.protocol.SimpleResponses;
 import org.pomelohollow.daemon.protocol.TargetLifecycleListener;
@@ -21,8 +22,6 @@
 import org.pomelohollow.wire.HttpLogClient;
 import org.pomelohollow.wire.LogClient;
 import org.pomelohollow.wire.WireCodec;
-import reactor.core.Disposable;
-import reactor.core.Disposables;
 import reactor.core.scheduler.Scheduler;
 import reactor.netty.resources.LoopResources;
 
@@ -76,7 +75,7 @@
   }
 
   @Override
-  public Disposable followDocuments(Scheduler loop, Consumer<Event> events) {
-    return Disposables.disposed();
+  public DocumentFeed followDocuments(Scheduler loop, Consumer<Event> events) {
+    return DocumentFeed.NONE;
   }
 }
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/protocol/Deployment.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/protocol/Deployment.java
@@ -8,7 +8,6 @@
 import org.pomelohollow.message.LogStream;
 import org.pomelohollow.wire.LogClient;
 import org.pomelohollow.wire.WireCodec;
-import reactor.core.Disposable;
 import reactor.core.scheduler.Scheduler;
 import reactor.netty.resources.LoopResources;
 
@@ -57,7 +56,7 @@
    *
    * @param loop event loop on which events are passed on
    * @param events receives an {@link Event.DocumentPublished} for each document
-   * @return stops following when disposed
+   * @return the feed, which stops following when disposed
    */
-  Disposable followDocuments(Scheduler loop, Consumer<Event> events);
+  DocumentFeed followDocuments(Scheduler loop, Consumer<Event> events);
 }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/Effect.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/Effect.java
@@ -41,6 +41,13 @@
    */
   record SeekStream(LogStream stream, long offset) implements Effect {}
 
+  /**
+   * Asks the store of the operators' documents for a newer one, by a read that does not depend on
+   * any open connection. {@link Event.DocumentConfirmed} or {@link Event.DocumentPublished} reports
+   * the outcome, nothing a failure.
+   */
+  record ConfirmDocument() implements Effect {}
+
   /**
    * Dispatches an event to all controllers of this daemon.
    *
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/Event.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/Event.java
@@ -88,6 +88,14 @@
    */
   record DocumentPublished(long version, String changeId, String text) implements Event {}
 
+  /**
+   * A read showed that the store holds no newer document than one that was published before.
+   *
+   * @param version version of that document
+   * @param askedNanos monotonic time at which the read was sent, in nanoseconds
+   */
+  record DocumentConfirmed(long version, long askedNanos) implements Event {}
+
   /**
    * A configuration has become active at this daemon.
    *
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/config/CheckpointSchedule.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/config/CheckpointSchedule.java
@@ -2,7 +2,6 @@
 
 import java.util.concurrent.TimeUnit;
 import org.pomelohollow.decision.Event;
-import org.pomelohollow.model.MemberId;
 import org.pomelohollow.model.Roster;
 
 /**
@@ -87,14 +86,7 @@
   }
 
   private static long delayNanos(Roster roster) {
-    long ownHash = hash(roster.self());
-    long rank = roster.members().stream().filter(m -> hash(m.id()) < ownHash).count();
-    return rank * DELAY_PER_RANK_NANOS + Math.floorMod(ownHash, MAX_JITTER_NANOS);
-  }
-
-  private static long hash(MemberId id) {
-    long h = id.host().hashCode() * 0x9E3779B97F4A7C15L + id.incarnation();
-    h = (h ^ (h >>> 32)) * 0xD6E8FEB86659FD93L;
-    return h ^ (h >>> 29);
+    return RosterRank.of(roster) * DELAY_PER_RANK_NANOS
+        + RosterRank.jitter(roster.self(), MAX_JITTER_NANOS);
   }
 }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/config/ConfigController.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/config/ConfigController.java
@@ -40,6 +40,7 @@
   private final PeerFetch fetch = new PeerFetch();
   private final CheckpointSchedule checkpointSchedule = new CheckpointSchedule();
   private final Freshness freshness = new Freshness();
+  private final ConfirmationSchedule confirmations = new ConfirmationSchedule();
 
   /** State of the active version, or the initial state. */
   private ConfigState activeState = ConfigState.INITIAL;
@@ -49,9 +50,13 @@
   private Optional<Roster> roster = Optional.empty();
   private long newestPeerVersion;
 
+  /** Newest version that operators published and this daemon read itself, 0 if none. */
+  private long publishedVersion;
+
   /** Newest version that this release cannot read, 0 if none. */
   private long unreadableVersion;
 
+  private long confirmationCount;
   private long nextAppendId = FIRST_APPEND_ID;
   private boolean logTooShort;
   private long logTooShortSinceNanos;
@@ -134,6 +139,11 @@
     return TimeUnit.NANOSECONDS.toMillis(freshness.ageNanos(nowNanos));
   }
 
+  /** Returns how often this daemon has confirmed its version by a read of its own. */
+  public long confirmationCount() {
+    return confirmationCount;
+  }
+
   /**
    * Returns whether this daemon may have missed the withdrawal of an API key for too long. Requests
    * that need an API key must then be refused.
@@ -163,10 +173,13 @@
     if (event instanceof Event.Tick) {
       freshness.tick(nowNanos);
       fetchIfNeeded();
+      confirmIfDue();
     } else if (event instanceof Event.LogRead r && r.stream() == LogStream.CONFIG) {
       applyRead(r);
     } else if (event instanceof Event.DocumentPublished p) {
       activatePublished(p);
+    } else if (event instanceof Event.DocumentConfirmed c) {
+      confirmPublished(c);
     } else if (event instanceof Event.MessageReceived m) {
       handleMessage(m);
     } else if (event instanceof Event.LinkLost l) {
@@ -186,6 +199,7 @@
         .line("next offset", fold.nextOffset())
         .line("newest checkpoint at", checkpointSchedule.newestOffset())
         .line("newest version heard", newestPeerVersion)
+        .line("newest version published", publishedVersion)
         .line("knowledge age in ms", configAgeMillis(nowNanos))
         .line("stale", isStale(nowNanos))
         .build();
@@ -282,12 +296,31 @@
 
   /** Activates a document of operators who assign the versions of their documents themselves. */
   private void activatePublished(Event.DocumentPublished p) {
+    publishedVersion = Math.max(publishedVersion, p.version());
     adoptIfNewer(new ConfigState(p.version(), p.text(), List.of(p.changeId()), 0));
     if (p.version() >= newestPeerVersion) {
       freshness.confirm(lastEventNanos, lastEventNanos);
     }
   }
 
+  private void confirmPublished(Event.DocumentConfirmed c) {
+    if (c.version() == version() && version() >= newestPeerVersion) {
+      freshness.confirm(c.askedNanos(), lastEventNanos);
+      confirmationCount++;
+    }
+  }
+
+  /** Asks the store if its documents are what this daemon follows, and its knowledge is old. */
+  private void confirmIfDue() {
+    boolean behind = Math.max(version(), newestPeerVersion) > publishedVersion;
+    if (publishedVersion > 0
+        && roster.isPresent()
+        && confirmations.startIfDue(
+            roster.get(), freshness.ageNanos(lastEventNanos), behind, lastEventNanos)) {
+      effects.emit(new Effect.ConfirmDocument());
+    }
+  }
+
   private void handleMessage(Event.MessageReceived m) {
     if (m.message() instanceof ConfigFetch f) {
       replyToFetch(m.from(), f);
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/membership/HeartbeatSender.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/membership/HeartbeatSender.java
@@ -23,6 +23,7 @@
   private final HeartbeatSendTimes sendTimes = new HeartbeatSendTimes();
   private long nextNanos;
   private long configVersionSent;
+  private long confirmationsSent;
 
   /**
    * Creates a sender.
@@ -62,11 +63,14 @@
 
   /** Sends regular heartbeats to the neighbours if they are due or the configuration changed. */
   void tick(Collection<MemberId> neighbours, long nowNanos) {
-    if (nowNanos - nextNanos < 0 && config.version() == configVersionSent) {
+    boolean news =
+        config.version() != configVersionSent || config.confirmationCount() != confirmationsSent;
+    if (nowNanos - nextNanos < 0 && !news) {
       return;
     }
     nextNanos = nowNanos + INTERVAL_NANOS;
     configVersionSent = config.version();
+    confirmationsSent = config.confirmationCount();
     neighbours.forEach(id -> effects.emit(new Effect.Send(id, to(id, false, nowNanos))));
   }
 
--- a/org.pomelohollow.junit/src/main/java/org/pomelohollow/junit/MembershipSimulation.java
+++ b/org.pomelohollow.junit/src/main/java/org/pomelohollow/junit/MembershipSimulation.java
@@ -26,9 +26,10 @@
 import org.pomelohollow.model.ZoneId;
 
 /**
- * Simulation of daemons' membership controllers, which exchange messages through an event queue in
- * virtual time. The test sets message loss, network partitions, pauses and crashes. Daemons are
- * identified by number, counted from 0; zones and services are assigned to them evenly.
+ * Simulation of daemons' membership and configuration controllers, which exchange messages through
+ * an event queue in virtual time. The test sets message loss, network partitions, pauses and
+ * crashes. Daemons are identified by number, counted from 0; zones and services are assigned to
+ * them evenly.
  */
 public final class MembershipSimulation {
   private static final String HOST_PREFIX = "host-";
@@ -44,6 +45,7 @@
   private final Map<Endpoint, Integer> byEndpoint = new HashMap<>();
   private final VirtualTime time = new VirtualTime();
   private final SimulatedLog log = new SimulatedLog();
+  private final SimulatedDocuments documents = new SimulatedDocuments(time);
   private BiConsumer<MemberId, PeerMessage> sendListener = (from, m) -> {};
   private NetworkPartition partition = (from, to) -> false;
   private double lossRate;
@@ -87,6 +89,7 @@
       daemons.add(new SimulatedMember(this, k, newMember(k, ++lastIncarnation), random.nextLong()));
       byEndpoint.put(endpoint(k), k);
       scheduleTicksAndLogReads(daemons.get(k));
+      documents.follow(daemons.get(k));
     }
   }
 
@@ -100,6 +103,36 @@
     daemons.set(
         k, new SimulatedMember(this, k, newMember(k, ++lastIncarnation), random.nextLong()));
     scheduleTicksAndLogReads(daemons.get(k));
+    documents.follow(daemons.get(k));
+  }
+
+  /** Publishes the next version of the operators' document. */
+  public void publishDocument() {
+    documents.publish();
+  }
+
+  /** Returns the newest version of the operators' document, 0 if none was published. */
+  public long documentVersion() {
+    return documents.version();
+  }
+
+  /** Silences the connections to the store on which daemons wait for the next document. */
+  public void silenceDocuments() {
+    documents.silence();
+  }
+
+  /**
+   * Sets which daemons can reach the store of the operators' documents.
+   *
+   * @param reachable whether the daemon with a given number can
+   */
+  public void setDocumentsReachable(IntPredicate reachable) {
+    documents.setReachable(reachable);
+  }
+
+  /** Returns the number of reads of the store that daemons have made to confirm a document. */
+  public long documentReads() {
+    return documents.reads();
   }
 
   /**
@@ -313,9 +346,16 @@
       transmit(from, find(s.to()), s.message());
     } else if (e instanceof Effect.Append a) {
       time.schedule(LOG_READ_PERIOD_NANOS / 2, () -> append(from, a));
+    } else if (e instanceof Effect.ConfirmDocument) {
+      documents.confirm(from);
     }
   }
 
+  /** Returns whether operators have published a document, so that daemons exchange it. */
+  boolean hasDocument() {
+    return documents.version() > 0;
+  }
+
   List<Endpoint> seeds() {
     return List.of(endpoint(0), endpoint(1), endpoint(2));
   }
--- a/org.pomelohollow.junit/src/main/java/org/pomelohollow/junit/SimulatedMember.java
+++ b/org.pomelohollow.junit/src/main/java/org/pomelohollow/junit/SimulatedMember.java
@@ -19,11 +19,13 @@
 import org.pomelohollow.model.TargetState;
 
 /**
- * Daemon of a {@link MembershipSimulation}: a membership controller that can be paused or crashed.
+ * Daemon of a {@link MembershipSimulation}: its controllers of membership and of the configuration,
+ * which can be paused or crashed.
  */
 public final class SimulatedMember {
   private final int number;
   private final Member self;
+  private final ConfigController config;
   private final MembershipController controller;
   private final PauseDetector pauseDetector = new PauseDetector();
   private final Deque<Event> deferred = new ArrayDeque<>();
@@ -33,17 +35,17 @@
   private long pausedUntilNanos;
   private long nextOffset;
   private long rosterChanges;
+  private long lastNanos;
 
   SimulatedMember(MembershipSimulation simulation, int number, Member self, long seed) {
     this.number = number;
     this.self = self;
+    this.lastNanos = simulation.nowNanos();
+    this.config =
+        new ConfigController(e -> executeOfConfig(simulation, e), SimulatedDocuments::readDocument);
     this.controller =
         new MembershipController(
-            self,
-            simulation.seeds(),
-            new ConfigController(e -> {}),
-            new Random(seed),
-            e -> execute(simulation, e));
+            self, simulation.seeds(), config, new Random(seed), e -> execute(simulation, e));
     controller.setTarget(simulation.initialTarget(number), simulation.nowNanos());
   }
 
@@ -57,6 +59,11 @@
     return controller;
   }
 
+  /** Returns the configuration controller. */
+  public ConfigController config() {
+    return config;
+  }
+
   /** Returns the current roster of the daemon. */
   public Roster roster() {
     return controller.roster();
@@ -137,12 +144,22 @@
     pauseDetector
         .check(nowNanos, TimeUnit.NANOSECONDS.toMillis(nowNanos))
         .ifPresent(gap -> controller.handle(new Event.ProcessResumed(gap), nowNanos));
+    config.handle(e, nowNanos);
     controller.handle(e, nowNanos);
+    lastNanos = nowNanos;
+  }
+
+  /** Executes effects of the configuration; without documents there is nothing to exchange. */
+  private void executeOfConfig(MembershipSimulation simulation, Effect e) {
+    if (simulation.hasDocument()) {
+      simulation.execute(this, e);
+    }
   }
 
   private void execute(MembershipSimulation simulation, Effect e) {
     if (e instanceof Effect.RaiseEvent r && r.event() instanceof Event.RosterChanged) {
       rosterChanges++;
+      config.handle(r.event(), lastNanos);
     } else if (e instanceof Effect.LogLine n && n.warning()) {
       warnings.add(n.message());
     } else {
