Bound the messages that a target sends in place of its response

A target that sends interim responses, or complete responses to other requests, without end kept its connection until the time limit of the request, and each of the latter wrote a log line.

Cause: the limits count bytes of bodies and of single heads, not messages.

Change: the 65th such message during one exchange fails it and closes the connection. What was read before that is dropped silently.

--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetConnection.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetConnection.java
@@ -33,6 +33,12 @@
   /** Bytes of responses to other requests, above which the connection is closed. */
   private static final long MAX_SKIPPED_BYTES = 1 << 20;
 
+  /**
+   * Interim responses and responses to other requests, above which the connection is closed. Such
+   * messages may be without a body, so that their bytes alone bound neither work nor log lines.
+   */
+  private static final int MAX_SKIPPED_MESSAGES = 64;
+
   /** Refused requests, above which the connection is closed. */
   private static final int MAX_REFUSED = 64;
 
@@ -48,6 +54,7 @@
   private boolean receiving;
   private boolean requestSent = true;
   private long skippedBytes;
+  private int skippedMessages;
   private boolean keepAlive;
   private boolean unusable;
   private long idleSinceNanos;
@@ -121,6 +128,7 @@
     onEnd = endCallback;
     receiving = false;
     skippedBytes = 0;
+    skippedMessages = 0;
     requestSent = newExchange.streamedBody().isEmpty();
     HttpRequest r = newExchange.createRequest(target, nowNanos);
     decoder.setMethod(r.method());
@@ -146,6 +154,9 @@
       fail(ErrorCode.ANSWER_MALFORMED, "malformed HTTP response");
       return;
     }
+    if (exchange.isEmpty() && unusable) {
+      return; // The rest of what was read before the connection was closed.
+    }
     if (exchange.isEmpty()) {
       Logger.info("target: received data while no request is open, closing the connection");
       close();
@@ -189,6 +200,7 @@
   /** Processes the head of a response; returns false if no body is to be read for it. */
   private boolean handleHead(HttpResponse r) {
     if (r.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+      countSkippedMessage();
       return false;
     }
     receiving = true;
@@ -220,12 +232,22 @@
     }
   }
 
+  private void countSkippedMessage() {
+    skippedMessages++;
+    if (skippedMessages > MAX_SKIPPED_MESSAGES) {
+      fail(
+          ErrorCode.ANSWER_MALFORMED,
+          "more than " + MAX_SKIPPED_MESSAGES + " messages that are not the response");
+    }
+  }
+
   private void completeResponse() {
     if (meaning instanceof TargetProtocol.ResponseKind.OtherRequest) {
       Logger.info("target: skipped a response that belongs to another request");
       if (!keepAlive) {
         close();
       }
+      countSkippedMessage();
       return;
     }
     if (unusable) {
--- a/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/internal/call/TargetConnectionTest.java
+++ b/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/internal/call/TargetConnectionTest.java
@@ -164,6 +164,47 @@
     }
   }
 
+  /** Each of these is complete by itself, so that no limit of a head or a body applies. */
+  @Test
+  void messagesWithoutEndThatAreNotTheResponseCloseTheConnection() {
+    for (String message :
+        List.of(
+            "HTTP/1.1 102 Processing\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nPomelo-Request-Id: other\r\nContent-Length: 0\r\n\r\n")) {
+      TargetConnectionTest t = new TargetConnectionTest();
+      t.send(Optional.empty(), Flux.empty());
+      int sent = 0;
+      while (t.channel.isActive() && sent < MAX_HELD_BYTES) {
+        t.receive(message);
+        sent += message.length();
+      }
+      assertFalse(t.channel.isActive(), "open after " + sent + " bytes of " + message);
+      assertEquals("failed, reached, ANSWER_MALFORMED", t.recorder.outcome);
+      assertTrue(t.reusable.isEmpty());
+    }
+  }
+
+  @Test
+  void aHeadOfManyFieldsAndAChunkOfEndlessSizeCloseTheConnection() {
+    for (List<String> startAndPart :
+        List.of(
+            List.of("HTTP/1.1 200 OK\r\n", "Field: value\r\n"),
+            List.of("HTTP/1.1 100 Continue\r\n", "Field: value\r\n"),
+            List.of(
+                "HTTP/1.1 200 OK\r\nPomelo-Request-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n1;",
+                "extension;"))) {
+      TargetConnectionTest t = new TargetConnectionTest();
+      t.send(Optional.empty(), Flux.empty());
+      t.receive(startAndPart.get(0));
+      int sent = 0;
+      while (t.channel.isActive() && sent < MAX_HELD_BYTES) {
+        t.receive(startAndPart.get(1));
+        sent += startAndPart.get(1).length();
+      }
+      assertFalse(t.channel.isActive(), "open after " + sent + " bytes of " + startAndPart);
+    }
+  }
+
   @Test
   void aLateSecondCopyOfAnEarlierResponseIsSkipped() {
     send(Optional.empty(), Flux.empty());
