Use no connection to the log that has been idle for long

Callers of a daemon with the product's own log could wait some seconds more for a change after its connections fell silent: a read or an append took an idle connection and failed by its time-out, one connection after the other.

Change: connections that have been idle for 2 s are closed. Long polls keep theirs busy.

Evidence: SilentLogTest failed before (the log is unreachable, 3 s after the silence) and passes. The platform's deployment does not use this client.

--- a/org.pomelohollow.wire/src/main/java/org/pomelohollow/wire/HttpLogClient.java
+++ b/org.pomelohollow.wire/src/main/java/org/pomelohollow/wire/HttpLogClient.java
@@ -26,6 +26,10 @@
   private static final Duration READ_MARGIN = Duration.ofSeconds(2);
 
   private static final int MAX_CONNECTIONS = 8;
+
+  /** An idle connection may have fallen silent unnoticed, so none is used after a longer pause. */
+  private static final Duration MAX_IDLE_TIME = Duration.ofSeconds(2);
+
   private static final int HTTP_OK = 200;
   private static final int HTTP_CREATED = 201;
 
@@ -44,7 +48,11 @@
     this.baseUri = "http://" + address + STREAMS_PATH;
     this.codec = codec;
     this.httpClient =
-        HttpClient.create(ConnectionProvider.create("log", MAX_CONNECTIONS))
+        HttpClient.create(
+                ConnectionProvider.builder("log")
+                    .maxConnections(MAX_CONNECTIONS)
+                    .maxIdleTime(MAX_IDLE_TIME)
+                    .build())
             .runOn(loops)
             .disableRetry(true);
   }
