Ask seldom for a version that peers have and the store does not return

Cause: after a store was restored, daemons that saw it keep a version that one which started later never reads from the store. Found by reading the change once more.

--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/config/ConfirmationSchedule.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/config/ConfirmationSchedule.java
@@ -33,6 +33,9 @@
 
   private static final long MAX_RETRY_NANOS = TimeUnit.SECONDS.toNanos(2);
 
+  /** As for a long poll: whatever is missing is in force already, by way of a peer. */
+  private static final long MAX_BEHIND_RETRY_NANOS = TimeUnit.SECONDS.toNanos(25);
+
   private boolean asked;
   private long askedNanos;
   private long retryNanos = FIRST_RETRY_NANOS;
@@ -52,6 +55,7 @@
   boolean startIfDue(Roster roster, long ageNanos, boolean isBehind, long nowNanos) {
     if (isBehind && !behind) {
       behindSinceNanos = nowNanos;
+      retryNanos = FIRST_RETRY_NANOS;
     }
     behind = isBehind;
     boolean overdue = behind && nowNanos - behindSinceNanos >= MAX_BEHIND_NANOS;
@@ -59,11 +63,13 @@
     if (!overdue && fresh) {
       return false;
     }
-    boolean answered = asked && ageNanos <= nowNanos - askedNanos;
+    // Peers keep knowledge fresh that does not bring the version which is missing here.
+    boolean answered = asked && !fresh && ageNanos <= nowNanos - askedNanos;
     if (asked && !answered && nowNanos - askedNanos < retryNanos) {
       return false;
     }
-    retryNanos = answered || !asked ? FIRST_RETRY_NANOS : Math.min(2 * retryNanos, MAX_RETRY_NANOS);
+    long maxRetryNanos = fresh ? MAX_BEHIND_RETRY_NANOS : MAX_RETRY_NANOS;
+    retryNanos = answered || !asked ? FIRST_RETRY_NANOS : Math.min(2 * retryNanos, maxRetryNanos);
     asked = true;
     askedNanos = nowNanos;
     return true;
