Don't limit cold targets where the operator names no bound

Callers saw: on deployments whose services name no rate for cold targets, nine in ten requests were refused as overloaded while the targets idled. Cause: the adapter used one slot as the first bound of a cold start, which rises only with completed requests. Change: a service whose cold-start slots equal its slots has no bound; a target that says that it is cold is advertised with half of its limit, so that it gets less. The load report gets the slowdown that targets report, for later use.

--- a/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/load/LoadSimulation.java
+++ b/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/load/LoadSimulation.java
@@ -79,14 +79,7 @@
       ZoneId zone = new ZoneId("z" + i % ZONES);
       daemons.add(
           new SimulatedDaemon(
-              this,
-              name + i,
-              zone,
-              id,
-              announcedSlots,
-              trueSlots,
-              overloadPenalty,
-              limitFactory.get()));
+              this, name + i, zone, id, announcedSlots, trueSlots, overloadPenalty, limitFactory));
     }
     return this;
   }
--- a/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/load/SimulatedDaemon.java
+++ b/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/load/SimulatedDaemon.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.function.Supplier;
 import org.pomelohollow.decision.Event;
 import org.pomelohollow.decision.TargetAnnouncement;
 import org.pomelohollow.decision.admission.AdmissionController;
@@ -27,7 +28,8 @@
   private final ServiceId service;
   private final int announcedSlots;
   private final SimulatedTarget target;
-  private final AdmissionController admission;
+  private final Supplier<LimitAlgorithm> limitFactory;
+  private AdmissionController admission;
   private final Router router;
   private final Map<SimulatedTarget.Job, SimulatedCall> calls = new HashMap<>();
   private int incarnation = 1;
@@ -44,14 +46,15 @@
       int announcedSlots,
       int trueSlots,
       double overloadPenalty,
-      LimitAlgorithm limit) {
+      Supplier<LimitAlgorithm> limitFactory) {
     this.simulation = simulation;
     this.id = new MemberId(host, 1);
     this.zone = zone;
     this.service = service;
     this.announcedSlots = announcedSlots;
     this.target = new SimulatedTarget(trueSlots, overloadPenalty);
-    this.admission = new AdmissionController(zone, limit);
+    this.limitFactory = limitFactory;
+    this.admission = new AdmissionController(zone, limitFactory.get());
     this.router = new Router(new SplittableRandom(host.hashCode()));
   }
 
@@ -120,6 +123,14 @@
     announce();
   }
 
+  /** Restarts the daemon beside a target that goes on running; the daemon's jobs are lost. */
+  public void restartDaemon() {
+    failJobs();
+    admission = new AdmissionController(zone, limitFactory.get());
+    simulation.publishConfiguration();
+    announce();
+  }
+
   /** Ends the cold start of the target, and the announcement of it. */
   public void endColdStart() {
     target.endCold();
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/TargetLimit.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/TargetLimit.java
@@ -14,8 +14,10 @@
  * of a cold start, and the adaptive limit.
  *
  * <p>Where the operator states a request rate for cold targets, a cold target is bounded by that
- * rate instead of by a cold-start limit. A target that names a request rate is bounded by that rate
- * besides.
+ * rate instead of by a cold-start limit. Where the operator states neither a rate nor slots for
+ * cold targets, a cold target is slower but runs as many requests as a warm one: entry daemons send
+ * it fewer requests, and nothing else limits it. A target that names a request rate is bounded by
+ * that rate besides.
  */
 final class TargetLimit {
   /** Time between announcements after which the target may have restarted unnoticed. */
@@ -23,6 +25,9 @@
 
   private static final int MIN_QUEUE_BOUND = 8;
 
+  /** Divisor of the advertised limit of a target that is cold and has no cold-start limit. */
+  private static final int UNLIMITED_COLD_DIVISOR = 2;
+
   private final LimitAlgorithm algorithm;
   private final double slotShare;
   private final ColdStartLimit coldStart = new ColdStartLimit();
@@ -49,9 +54,12 @@
   }
 
   boolean isCold(long nowNanos) {
-    return coldRateLimiter.isPresent()
-        ? coldRateLimiter.get().isCold(nowNanos)
-        : coldStart.isCold();
+    if (coldRateLimiter.isPresent()) {
+      return coldRateLimiter.get().isCold(nowNanos);
+    }
+    return hasColdStartLimit()
+        ? coldStart.isCold()
+        : announcement.filter(TargetAnnouncement::cold).isPresent();
   }
 
   /** Returns whether the request rates of the target allow a request to start. */
@@ -86,7 +94,7 @@
     if (announcement.isEmpty()) {
       return 0;
     }
-    if (coldRateLimiter.isPresent()) {
+    if (!hasColdStartLimit()) {
       return algorithm.limit();
     }
     return coldStart.isCold() ? coldStart.limit() : Math.min(algorithm.limit(), coldStart.limit());
@@ -120,6 +128,9 @@
     if (coldRateLimiter.isPresent() && coldRateLimiter.get().isCold(nowNanos)) {
       return Math.min(coldRateLimiter.get().equivalentLimit(), rateBoundLimit());
     }
+    if (!hasColdStartLimit() && isCold(nowNanos)) {
+      return Math.min(Math.max(1, limit() / UNLIMITED_COLD_DIVISOR), rateBoundLimit());
+    }
     return rateBoundLimit();
   }
 
@@ -153,8 +164,8 @@
     announcedNanos = nowNanos;
     updateCeiling();
     updateColdRate(nowNanos);
-    if (coldRateLimiter.isPresent()) {
-      coldRateLimiter.get().setRemainingColdTime(a.coldRemainingMillis(), nowNanos);
+    coldRateLimiter.ifPresent(r -> r.setRemainingColdTime(a.coldRemainingMillis(), nowNanos));
+    if (!hasColdStartLimit()) {
       if (!sameIncarnation) {
         algorithm.reset(ceiling());
       }
@@ -173,7 +184,7 @@
 
   /** Restarts the cold start because many running requests are far slower than their routes. */
   void restartAfterStall() {
-    if (coldRateLimiter.isEmpty()) {
+    if (hasColdStartLimit()) {
       restartColdStart();
     }
   }
@@ -190,7 +201,7 @@
     if (t.targetEpoch() != coldStart.epoch()) {
       return;
     }
-    if (coldRateLimiter.isPresent()) {
+    if (!hasColdStartLimit()) {
       algorithm.onSample(s, nowNanos);
     } else if (hasLatency && latencyJump.addSample(t.context().route(), s.selfTimeNanos())) {
       restartColdStart();
@@ -203,6 +214,13 @@
     }
   }
 
+  /**
+   * Returns whether a number of slots, rather than a request rate or nothing, limits a cold target.
+   */
+  private boolean hasColdStartLimit() {
+    return coldRateLimiter.isEmpty() && service().map(ServiceEntry::limitsColdStart).orElse(true);
+  }
+
   private void restartColdStart() {
     coldStart.restart();
     latencyJump.clear();
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/document/ServiceEntry.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/document/ServiceEntry.java
@@ -12,7 +12,8 @@
  * @param id name of the service
  * @param slots maximum number of requests in flight at one target
  * @param connections maximum number of connections to one target
- * @param coldStartSlots maximum number of requests in flight at a target in cold start
+ * @param coldStartSlots maximum number of requests in flight at a target in cold start; equal to
+ *     {@code slots} if the operator does not limit cold targets
  * @param zones availability zones that its targets are expected in, empty if any; the document is
  *     checked against them, but targets elsewhere are not rejected
  * @param coldStartRate request rate of a target in cold start, if the operator limits it by a rate
@@ -63,4 +64,9 @@
   public ServiceEntry(ServiceId id, int slots, int connections, int coldStartSlots) {
     this(id, slots, connections, coldStartSlots, Set.of());
   }
+
+  /** Returns whether the operator limits the requests in flight at a target in cold start. */
+  public boolean limitsColdStart() {
+    return coldStartSlots < slots;
+  }
 }
--- a/org.pomelohollow.wire/src/main/java/org/pomelohollow/wire/AttemptCodec.java
+++ b/org.pomelohollow.wire/src/main/java/org/pomelohollow/wire/AttemptCodec.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
+import org.msgpack.value.ValueType;
 import org.pomelohollow.model.HeaderField;
 import org.pomelohollow.model.Priority;
 import org.pomelohollow.model.TargetIncarnation;
@@ -18,6 +19,9 @@
  * generic object mapping costs several times as much.
  */
 final class AttemptCodec {
+  /** Pressure and slowdown. */
+  private static final int LOAD_ARRAY_SIZE = 2;
+
   private AttemptCodec() {}
 
   static void pack(MessagePacker p, AttemptHead h) throws IOException {
@@ -91,12 +95,27 @@
 
   private static void packLoad(MessagePacker p, TargetLoad l) throws IOException {
     p.packInt(l.limit()).packInt(l.inFlight()).packInt(l.queued());
-    p.packInt(l.cutOff().rank()).packDouble(l.pressure());
+    p.packInt(l.cutOff().rank());
+    if (l.hasSlowdown()) {
+      p.packArrayHeader(LOAD_ARRAY_SIZE).packDouble(l.pressure()).packDouble(l.slowdown());
+    } else {
+      p.packDouble(l.pressure()); // As in releases that know no slowdown.
+    }
   }
 
   private static TargetLoad unpackLoad(MessageUnpacker u) throws IOException {
-    return new TargetLoad(
-        u.unpackInt(), u.unpackInt(), u.unpackInt(), new Priority(u.unpackInt()), u.unpackDouble());
+    int limit = u.unpackInt();
+    int inFlight = u.unpackInt();
+    int queued = u.unpackInt();
+    Priority cutOff = new Priority(u.unpackInt());
+    if (u.getNextFormat().getValueType() != ValueType.ARRAY) {
+      return new TargetLoad(limit, inFlight, queued, cutOff, u.unpackDouble());
+    }
+    int size = u.unpackArrayHeader();
+    if (size != LOAD_ARRAY_SIZE) {
+      throw new IOException("load report with " + size + " values in its array");
+    }
+    return new TargetLoad(limit, inFlight, queued, cutOff, u.unpackDouble(), u.unpackDouble());
   }
 
   /** Encodes a notice at the end of a message, which is as in earlier releases without one. */
