Tell callers when to retry after an outage

Callers saw: after a loss of all hosts, requests refused for want of a target or a configuration had no Retry-After; callers retried at once and were refused for good. Change: such refusals name half to one and a half seconds, spread by the request's identifier. Retries after overload keep their own delays.

--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/request/Exchange.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/request/Exchange.java
@@ -158,12 +158,13 @@
 
   /**
    * Ends the exchange with a refusal or failure, unless it has ended. If any attempt may have run,
-   * a {@link Verdict.NotRun} is replaced by a {@link Verdict.MayHaveRun} of the same code.
+   * a {@link Verdict.NotRun} is replaced by a {@link Verdict.MayHaveRun} of the same code. A
+   * refusal because of an outage gets a retry delay if it has none.
    *
    * @param verdict verdict to report to the caller
    */
   public void refuse(Verdict verdict) {
-    Verdict v = withPossibleRuns(verdict);
+    Verdict v = OutageRetryDelay.addTo(withPossibleRuns(verdict), head.requestId());
     if (finish(v)) {
       listener.refused(v);
     }
