Share what is refused at the entry between client accounts

Early refusal took requests of all accounts alike. On services whose load reports satisfy AdmissionSettings.scarcityRule (a reported slowdown), entries now report demand by account to the service's home, and cut accounts down to the max-min level of the fleet.

--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/Daemon.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/Daemon.java
@@ -242,6 +242,8 @@
         node.admission()::load,
         links::count,
         node.config()::version,
+        () -> node.shares().sharedServices(System.nanoTime()),
+        node.shares()::refusedCount,
         () -> node.config().configAgeMillis(System.nanoTime()));
     handle(new Event.RosterChanged(node.membership().roster()));
     logPump.start();
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/DaemonMetrics.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/DaemonMetrics.java
@@ -36,18 +36,24 @@
    * @param load load of the target
    * @param links number of open links
    * @param version version of the active configuration
+   * @param sharedServices number of services whose shares divide refusals between accounts
+   * @param shareRefusals number of requests refused because of their accounts' shares
    * @param configAge time since that version was last known to be the newest, in milliseconds
    */
   void registerGauges(
       Supplier<TargetLoad> load,
       Supplier<Number> links,
       Supplier<Number> version,
+      Supplier<Number> sharedServices,
+      Supplier<Number> shareRefusals,
       Supplier<Number> configAge) {
     registerGauge("pomelohollow.target.limit", () -> load.get().limit());
     registerGauge("pomelohollow.target.running", () -> load.get().inFlight());
     registerGauge("pomelohollow.target.queued", () -> load.get().queued());
     registerGauge("pomelohollow.links", links);
     registerGauge("pomelohollow.config.version", version);
+    registerGauge("pomelohollow.shares.services", sharedServices);
+    registerGauge("pomelohollow.shares.refused", shareRefusals);
     registerGauge("pomelohollow.config.age.milliseconds", configAge);
   }
 
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/Node.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/Node.java
@@ -17,6 +17,7 @@
 import org.pomelohollow.decision.claim.ClaimFilter;
 import org.pomelohollow.decision.claim.ClaimSettings;
 import org.pomelohollow.decision.config.ConfigController;
+import org.pomelohollow.decision.fairness.AccountShares;
 import org.pomelohollow.decision.guard.Guard;
 import org.pomelohollow.decision.guard.RunningRequests;
 import org.pomelohollow.decision.membership.MembershipController;
@@ -51,6 +52,7 @@
   private final MembershipController membership;
   private final AdmissionController admission;
   private final ClaimController claims;
+  private final AccountShares shares;
   private final Guard guard;
   private final List<Controller> controllers;
   private final FilterChain chain;
@@ -80,6 +82,8 @@
     this.membership =
         new MembershipController(setup.self(), setup.seeds(), config, random, effects);
     this.admission = new AdmissionController(setup.self().zone(), setup.settings().admission());
+    this.shares =
+        new AccountShares(setup.self().id(), effects, setup.settings().admission().scarcityRule());
     RoutePressures pressures = new RoutePressures();
     Router router = new Router(random);
     this.claims = new ClaimController(setup.self().id(), ClaimSettings.DEFAULT, effects);
@@ -105,13 +109,16 @@
     AccountRateLimiter quota =
         setup.settings().rateLimiterFactory().create(setup.self().id(), effects);
     ApiKeyFilter apiKeys = new ApiKeyFilter();
-    EarlyRefusalFilter earlyRefusal = new EarlyRefusalFilter(router, pressures, random);
+    EarlyRefusalFilter earlyRefusal =
+        new EarlyRefusalFilter(
+            new EarlyRefusalFilter.Dependencies(router, pressures, shares, random, clock));
     List<Controller> all =
         List.of(
             timers,
             config,
             apiKeys,
             earlyRefusal,
+            shares,
             quota,
             router,
             admission,
@@ -178,6 +185,7 @@
 
   private void recordLoad(RoutePressures pressures, Exchange x, TargetLoad load, long nowNanos) {
     pressures.recordLoad(x.context().route(), load, nowNanos);
+    shares.recordLoad(x.context().service(), load, nowNanos);
     if (x.isChildCall()) {
       admission.recordReportedLoad(x.context().route(), load, nowNanos);
     }
@@ -234,6 +242,11 @@
     return claims;
   }
 
+  /** Returns the controller of the shares of client accounts. */
+  public AccountShares shares() {
+    return shares;
+  }
+
   /** Returns the configuration controller. */
   public ConfigController config() {
     return config;
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionController.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionController.java
@@ -3,13 +3,11 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.stream.Collectors;
 import org.pomelohollow.decision.Controller;
 import org.pomelohollow.decision.Event;
 import org.pomelohollow.decision.StateDump;
 import org.pomelohollow.document.AccountEntry;
 import org.pomelohollow.document.Document;
-import org.pomelohollow.document.RouteEntry;
 import org.pomelohollow.errors.ErrorCode;
 import org.pomelohollow.model.Priority;
 import org.pomelohollow.model.RequestContext;
@@ -32,6 +30,12 @@
   /** Least number of running requests far above their routes' latency that indicates a stall. */
   private static final int MIN_STALLED_REQUESTS = 12;
 
+  /**
+   * Factor on the queue's length where waits are estimated, since a third of an objective is
+   * several times the held time of most requests.
+   */
+  private static final int ESTIMATED_QUEUE_FACTOR = 4;
+
   private final ZoneId zone;
   private final TargetLimit targetLimit;
   private final AdmissionQueues queues = new AdmissionQueues(this::weight);
@@ -42,9 +46,9 @@
   private final PressureController pressure = new PressureController(Priority.MAX_COUNT);
   private final CallGraph callGraph = new CallGraph();
   private final AdmissionSettings settings;
+  private final WaitBounds waitBounds;
   private final Map<String, Ticket> running = new HashMap<>();
   private Optional<Document> document = Optional.empty();
-  private Map<String, RouteEntry> routesByName = Map.of();
   private boolean draining;
   private boolean stopping;
   private boolean startingQueued;
@@ -69,6 +73,7 @@
   public AdmissionController(ZoneId zone, AdmissionSettings settings) {
     this.zone = zone;
     this.settings = settings;
+    this.waitBounds = new WaitBounds(settings.waitPolicy());
     this.targetLimit = new TargetLimit(settings.limitFactory().get(), settings.slotShare());
   }
 
@@ -90,6 +95,8 @@
       refuse(t, refusalReason.get(), nowNanos);
     } else if (!serviceTimes.canFinish(context, nowNanos)) {
       refuse(t, ErrorCode.DEADLINE_EXCEEDED, nowNanos);
+    } else if (isScarce() && !startsInTime(t)) {
+      shed(t, nowNanos);
     } else {
       slots.recordOffer(bulk, nowNanos);
       queues.of(t).add(t);
@@ -269,8 +276,7 @@
       targetLimit.suspectCold(nowNanos);
     }
     document = Optional.of(d);
-    routesByName =
-        d.routes().stream().collect(Collectors.toMap(RouteEntry::name, r -> r, (a, b) -> b));
+    waitBounds.configure(d);
     targetLimit.configure(d, nowNanos);
     cutOff.setPriorityCount(d.priorities().size());
   }
@@ -344,7 +350,8 @@
 
   /** Sheds the requests that would be served last until the queue is within its bound. */
   private void shedExcess(AdmissionQueue q, long nowNanos) {
-    while (q.size() > targetLimit.queueBound()) {
+    int bound = targetLimit.queueBound() * (mayEstimateQueue() ? ESTIMATED_QUEUE_FACTOR : 1);
+    while (q.size() > bound) {
       Ticket t = q.last().orElseThrow();
       q.remove(t);
       shed(t, nowNanos);
@@ -353,8 +360,12 @@
 
   private void tick(long nowNanos) {
     long queueBoundNanos = overload.waitBoundNanos(nowNanos);
+    boolean isScarce = isScarce();
     queues
-        .removeShortIf(t -> nowNanos - t.arrivedNanos() > waitBoundNanos(t, queueBoundNanos))
+        .removeShortIf(
+            t ->
+                nowNanos - t.arrivedNanos()
+                    > waitBounds.boundNanos(t.context().route(), isScarce, queueBoundNanos))
         .forEach(t -> shed(t, nowNanos));
     queues
         .removeIf(t -> t.context().remainingNanos(nowNanos) <= 0)
@@ -370,10 +381,19 @@
     }
   }
 
-  private long waitBoundNanos(Ticket t, long queueBoundNanos) {
-    return settings
-        .waitPolicy()
-        .boundNanos(Optional.ofNullable(routesByName.get(t.context().route())), queueBoundNanos);
+  /** Returns whether the target's reports put estimated waits in effect. */
+  private boolean isScarce() {
+    return settings.scarcityRule().test(load(0));
+  }
+
+  private boolean mayEstimateQueue() {
+    return isScarce() && notices().requestRate().requestsPerSecond().isEmpty();
+  }
+
+  private boolean startsInTime(Ticket t) {
+    int ahead = queues.of(t).sizeUpTo(t.context().priority());
+    return waitBounds.startsInTime(
+        t.context().route(), ahead, targetLimit.limit(), serviceTimes.meanNanos());
   }
 
   private void refuseAll(ErrorCode code, long nowNanos) {
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionQueue.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionQueue.java
@@ -33,6 +33,11 @@
     return size;
   }
 
+  /** Returns the number of queued requests of a priority and of all more important ones. */
+  int sizeUpTo(Priority p) {
+    return queuesByRank.stream().limit(p.rank() + 1L).mapToInt(FairQueue::size).sum();
+  }
+
   void add(Ticket t) {
     queue(t).add(t, weightOf.applyAsDouble(t));
     size++;
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/ServiceTimeEstimator.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/ServiceTimeEstimator.java
@@ -16,12 +16,19 @@
   private static final double REFUSAL_DECAY = 0.99;
 
   private final Map<String, Double> meanNanosByRoute = new HashMap<>();
+  private double meanNanos;
 
   void addSample(String route, long heldNanos) {
+    meanNanos = meanNanos == 0 ? heldNanos : meanNanos + SMOOTHING * (heldNanos - meanNanos);
     meanNanosByRoute.merge(
         route, (double) heldNanos, (old, newest) -> old + SMOOTHING * (newest - old));
   }
 
+  /** Returns the mean service time of all routes, 0 before a request has ended. */
+  double meanNanos() {
+    return meanNanos;
+  }
+
   /**
    * Returns whether a request can still finish by its deadline. Each time the result is negative,
    * the estimate is lowered slightly, so that requests are admitted again if it was too high.
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/WaitPolicy.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/WaitPolicy.java
@@ -1,6 +1,7 @@
 package org.pomelohollow.decision.admission;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.pomelohollow.document.RouteEntry;
 
@@ -17,11 +18,25 @@
    * later, while refusing a call would waste the work that its call tree has already done.
    */
   WaitPolicy OBJECTIVE_BASED =
-      (route, queueBoundNanos) ->
-          route
+      new WaitPolicy() {
+        @Override
+        public long boundNanos(Optional<RouteEntry> route, long queueBoundNanos) {
+          return objectiveNanos(route).map(o -> o / 8).orElse(Long.MAX_VALUE);
+        }
+
+        @Override
+        public OptionalLong estimatedBoundNanos(Optional<RouteEntry> route) {
+          return objectiveNanos(route)
+              .map(o -> OptionalLong.of(o / 3))
+              .orElseGet(OptionalLong::empty);
+        }
+
+        private Optional<Long> objectiveNanos(Optional<RouteEntry> route) {
+          return route
               .filter(r -> !r.open())
-              .map(r -> TimeUnit.MILLISECONDS.toNanos(r.latencyObjectiveMillis()) / 8)
-              .orElse(Long.MAX_VALUE);
+              .map(r -> TimeUnit.MILLISECONDS.toNanos(r.latencyObjectiveMillis()));
+        }
+      };
 
   /**
    * Returns the longest time that a request may be queued.
@@ -31,4 +46,15 @@
    * @return the bound, in nanoseconds
    */
   long boundNanos(Optional<RouteEntry> route, long queueBoundNanos);
+
+  /**
+   * Returns the longest time that a request may be queued where the wait is estimated on its
+   * arrival, and it is refused at once if the estimate is longer.
+   *
+   * @param route route of the request, if the active document contains it
+   * @return the bound, in nanoseconds; empty if the wait of such a request is not estimated
+   */
+  default OptionalLong estimatedBoundNanos(Optional<RouteEntry> route) {
+    return OptionalLong.empty();
+  }
 }
--- /dev/null
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/fairness/RetryDelays.java
@@ -0,0 +1,46 @@
+package org.pomelohollow.decision.fairness;
+
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+
+/**
+ * Chooses the delay after which a refused caller is to return.
+ *
+ * <p>A caller obeys a delay of up to a third of the time it has left; all longer ones end at that
+ * third, at the same moment for all. Delays are spread over the later half of it, since a burst
+ * lasts longer than that and an early return would meet the same overload.
+ */
+public final class RetryDelays {
+  /** Part of the time left within which callers return. */
+  private static final double OBEYED_PART = 1.0 / 3;
+
+  private static final double MIN_PART = 0.5;
+
+  /** Below 1, as part of the caller's time has passed before the entry counts it. */
+  private static final double MAX_PART = 0.95;
+
+  private static final long MIN_DELAY_MILLIS = 20;
+
+  private final RandomGenerator random;
+
+  /**
+   * Creates a chooser.
+   *
+   * @param random source of the random choices
+   */
+  public RetryDelays(RandomGenerator random) {
+    this.random = random;
+  }
+
+  /**
+   * Returns a delay.
+   *
+   * @param remainingNanos time until the deadline of the refused request, in nanoseconds
+   * @return the delay in milliseconds, above 0
+   */
+  public long delayMillis(long remainingNanos) {
+    double part = MIN_PART + random.nextDouble() * (MAX_PART - MIN_PART);
+    double millis = TimeUnit.NANOSECONDS.toMillis(remainingNanos) * OBEYED_PART * part;
+    return Math.max(MIN_DELAY_MILLIS, (long) millis);
+  }
+}
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/request/Exchange.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/request/Exchange.java
@@ -5,6 +5,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
 import org.pomelohollow.document.RouteEntry;
 import org.pomelohollow.errors.ErrorCode;
 import org.pomelohollow.model.AccountId;
@@ -25,6 +26,7 @@
   private int rankOffset;
   private Optional<RequestContext> context = Optional.empty();
   private Optional<Verdict> finalVerdict = Optional.empty();
+  private UnaryOperator<Verdict> refusalMapper = UnaryOperator.identity();
   private int possiblyRunAttempts;
 
   /**
@@ -146,6 +148,16 @@
     }
   }
 
+  /**
+   * Sets a function that is applied to the verdict of a refusal before it is reported, for example
+   * to change its retry delay.
+   *
+   * @param mapper returns the verdict to report
+   */
+  public void mapRefusal(UnaryOperator<Verdict> mapper) {
+    refusalMapper = mapper;
+  }
+
   /** Records the start of an attempt; from then on the request may have run. */
   public void attemptStarted() {
     possiblyRunAttempts++;
@@ -163,7 +175,7 @@
    * @param verdict verdict to report to the caller
    */
   public void refuse(Verdict verdict) {
-    Verdict v = withPossibleRuns(verdict);
+    Verdict v = hasEnded() ? verdict : refusalMapper.apply(withPossibleRuns(verdict));
     if (finish(v)) {
       listener.refused(v);
     }
--- a/org.pomelohollow.wire/src/main/java/org/pomelohollow/wire/WireType.java
+++ b/org.pomelohollow.wire/src/main/java/org/pomelohollow/wire/WireType.java
@@ -15,6 +15,8 @@
 import org.pomelohollow.decision.config.ConfigProposal;
 import org.pomelohollow.decision.config.ConfigRestore;
 import org.pomelohollow.decision.config.ConfigTransfer;
+import org.pomelohollow.decision.fairness.DemandReport;
+import org.pomelohollow.decision.fairness.DemandSummary;
 import org.pomelohollow.decision.membership.Heartbeat;
 import org.pomelohollow.decision.membership.MemberJoined;
 import org.pomelohollow.decision.membership.MemberLeft;
@@ -58,6 +60,8 @@
   SUSPECTS_HEARD(50, SuspectsHeard.class),
   TOKEN_REQUEST(60, TokenRequest.class),
   TOKEN_GRANT(61, TokenGrant.class),
+  DEMAND_REPORT(80, DemandReport.class),
+  DEMAND_SUMMARY(81, DemandSummary.class),
 
   MEMBER_JOINED(100, MemberJoined.class),
   MEMBER_LEFT(130, MemberLeft.class),
