--- a/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/request/ShareDaemon.java
+++ b/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/request/ShareDaemon.java
@@ -62,8 +62,10 @@
     return router;
   }
 
-  AccountShares shares() {
-    return shares;
+  /** Returns whether this daemon sums up the demand of the service. */
+  boolean isHome() {
+    return shares.dump(simulation.now()).lines().stream()
+        .anyMatch(l -> l.name().startsWith("home for "));
   }
 
   EarlyRefusalFilter filter() {
--- a/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/request/ShareSimulation.java
+++ b/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/request/ShareSimulation.java
@@ -59,6 +59,7 @@
   final Set<MemberId> stopped = new HashSet<>();
   BiPredicate<MemberId, MemberId> reaches = (a, b) -> true;
   boolean sameEntry = true;
+  boolean dropsMessages;
   long messages;
   final Map<String, Integer> messageCounts = new TreeMap<>();
   final List<String> logLines = new ArrayList<>();
@@ -163,7 +164,7 @@
     if (e instanceof Effect.Send s) {
       messages++;
       messageCounts.merge(s.message().getClass().getSimpleName(), 1, Integer::sum);
-      if (isLinked(from, s.to())) {
+      if (!dropsMessages && isLinked(from, s.to())) {
         after(
             LINK_NANOS, () -> daemon(s.to()).handle(new Event.MessageReceived(from, s.message())));
       }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionController.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionController.java
@@ -31,11 +31,18 @@
   private static final int MIN_STALLED_REQUESTS = 12;
 
   /**
-   * Factor on the queue's length where waits are estimated, since a third of an objective is
-   * several times the held time of most requests.
+   * Factor on the queue's length for callers' requests whose waits are estimated, since a third of
+   * an objective is several times the held time of most requests.
    */
   private static final int ESTIMATED_QUEUE_FACTOR = 4;
 
+  /**
+   * Weight in the pressure of queued requests whose waits are estimated: they may wait 8/3 as long,
+   * and the full queue is to count as much as that of the shorter wait. At full weight the pressure
+   * overshoots while the longer queue drains, and slots stay idle after it.
+   */
+  private static final double ESTIMATED_QUEUE_WEIGHT = 3.0 / 8;
+
   private final ZoneId zone;
   private final TargetLimit targetLimit;
   private final AdmissionQueues queues = new AdmissionQueues(this::weight);
@@ -306,7 +313,14 @@
   private void advanceTo(long nowNanos) {
     latestNanos = nowNanos;
     cutOff.update(targetLimit.limit(), inFlight(), nowNanos);
-    pressure.update(inFlight() + queues.size(), targetLimit.limit(), nowNanos);
+    pressure.update(inFlight() + pressingQueue(), targetLimit.limit(), nowNanos);
+  }
+
+  /** Returns the queued requests as they count in the pressure. */
+  private double pressingQueue() {
+    return isScarce()
+        ? queues.size() - (1 - ESTIMATED_QUEUE_WEIGHT) * queues.accountSize()
+        : queues.size();
   }
 
   private void startQueued(long nowNanos) {
@@ -350,8 +364,9 @@
 
   /** Sheds the requests that would be served last until the queue is within its bound. */
   private void shedExcess(AdmissionQueue q, long nowNanos) {
-    int bound = targetLimit.queueBound() * (mayEstimateQueue() ? ESTIMATED_QUEUE_FACTOR : 1);
-    while (q.size() > bound) {
+    int factor = mayEstimateQueue() ? ESTIMATED_QUEUE_FACTOR : 1;
+    int bound = targetLimit.queueBound();
+    while (q.size() - q.accountSize() + q.accountSize() / factor > bound) {
       Ticket t = q.last().orElseThrow();
       q.remove(t);
       shed(t, nowNanos);
@@ -390,10 +405,11 @@
     return isScarce() && notices().requestRate().requestsPerSecond().isEmpty();
   }
 
+  /** Returns whether a request would start early enough by the estimate of its wait. */
   private boolean startsInTime(Ticket t) {
     int ahead = queues.of(t).sizeUpTo(t.context().priority());
-    return waitBounds.startsInTime(
-        t.context().route(), ahead, targetLimit.limit(), serviceTimes.meanNanos());
+    double waitNanos = ahead * serviceTimes.meanNanos() / Math.max(1, targetLimit.limit());
+    return waitBounds.startsInTime(t.context().route(), waitNanos);
   }
 
   private void refuseAll(ErrorCode code, long nowNanos) {
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionQueue.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionQueue.java
@@ -16,6 +16,7 @@
   private final ToDoubleFunction<Ticket> weightOf;
   private final List<FairQueue> queuesByRank = new ArrayList<>();
   private int size;
+  private int accountSize;
 
   /**
    * Creates an empty queue.
@@ -33,6 +34,11 @@
     return size;
   }
 
+  /** Returns the number of queued requests that are charged to an account. */
+  int accountSize() {
+    return accountSize;
+  }
+
   /** Returns the number of queued requests of a priority and of all more important ones. */
   int sizeUpTo(Priority p) {
     return queuesByRank.stream().limit(p.rank() + 1L).mapToInt(FairQueue::size).sum();
@@ -41,6 +47,7 @@
   void add(Ticket t) {
     queue(t).add(t, weightOf.applyAsDouble(t));
     size++;
+    accountSize += accountCount(t);
   }
 
   Optional<Ticket> peek() {
@@ -50,6 +57,7 @@
   Ticket poll() {
     Ticket t = firstNonEmptyQueue().poll();
     size--;
+    accountSize -= accountCount(t);
     return t;
   }
 
@@ -67,6 +75,7 @@
     boolean removed = queue(t).remove(t);
     if (removed) {
       size--;
+      accountSize -= accountCount(t);
     }
     return removed;
   }
@@ -78,6 +87,7 @@
     List<Ticket> out = new ArrayList<>();
     queuesByRank.forEach(q -> out.addAll(q.removeIf(p)));
     size -= out.size();
+    out.forEach(t -> accountSize -= accountCount(t));
     return out;
   }
 
@@ -89,6 +99,10 @@
     queuesByRank.forEach(FairQueue::removeIdleAccounts);
   }
 
+  private static int accountCount(Ticket t) {
+    return t.context().account().isPresent() ? 1 : 0;
+  }
+
   private FairQueue firstNonEmptyQueue() {
     for (FairQueue q : queuesByRank) {
       if (q.size() > 0) {
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionQueues.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionQueues.java
@@ -30,6 +30,11 @@
     return shortRequests.size() + bulkRequests.size();
   }
 
+  /** Returns the number of queued requests that are charged to an account: callers' requests. */
+  int accountSize() {
+    return shortRequests.accountSize() + bulkRequests.accountSize();
+  }
+
   int shortSize() {
     return shortRequests.size();
   }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/PressureController.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/PressureController.java
@@ -64,18 +64,18 @@
   /**
    * Adds the time since the last call at the load of that call, and sets the load from now on.
    *
-   * @param requests running and queued requests
+   * @param requests running and queued requests, the latter with their weight
    * @param limit highest number of requests in flight, 0 without a target
    * @param nowNanos current monotonic time, in nanoseconds
    */
-  void update(int requests, int limit, long nowNanos) {
+  void update(double requests, int limit, long nowNanos) {
     if (updatedNanos == Long.MIN_VALUE) {
       updatedNanos = nowNanos;
       windowStartNanos = nowNanos;
     }
     loadIntegralNanos += (nowNanos - updatedNanos) * lastLoad;
     updatedNanos = nowNanos;
-    lastLoad = limit > 0 ? (double) requests / limit : 0;
+    lastLoad = limit > 0 ? requests / limit : 0;
     long windowNanos = nowNanos - windowStartNanos;
     if (windowNanos >= WINDOW_NANOS) {
       adapt(loadIntegralNanos / windowNanos, windowNanos / NANOS_PER_SECOND);
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/WaitBounds.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/WaitBounds.java
@@ -31,7 +31,7 @@
    * Returns the longest time that a request may be queued, in nanoseconds.
    *
    * @param route route of the request
-   * @param isScarce whether the service's capacity is scarce, so that waits are estimated
+   * @param isScarce whether waits are estimated
    * @param queueBoundNanos bound derived from the state of the queue, in nanoseconds
    */
   long boundNanos(String route, boolean isScarce, long queueBoundNanos) {
@@ -44,12 +44,10 @@
    * Returns whether a request at a service with scarce capacity would start within its bound.
    *
    * @param route route of the request
-   * @param ahead number of requests that are served before it
-   * @param limit highest number of requests in flight
-   * @param meanHeldNanos mean time that a request holds a slot, in nanoseconds
+   * @param waitNanos estimated time until the request starts, in nanoseconds
    */
-  boolean startsInTime(String route, int ahead, int limit, double meanHeldNanos) {
+  boolean startsInTime(String route, double waitNanos) {
     OptionalLong bound = policy.estimatedBoundNanos(Optional.ofNullable(routesByName.get(route)));
-    return bound.isEmpty() || ahead * meanHeldNanos <= (double) bound.getAsLong() * limit;
+    return bound.isEmpty() || waitNanos <= bound.getAsLong();
   }
 }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/fairness/ReturnedRequests.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/fairness/ReturnedRequests.java
@@ -85,16 +85,16 @@
   }
 
   /**
-   * Divides a share between new and returned requests. Returned ones are refused with its square,
-   * because a second refusal is worse for a caller than the first; new ones with so much more that
-   * the sum over both is kept.
+   * Divides a share between new and returned requests. Returned ones are refused with its power of
+   * 1.5, because a second refusal is worse for a caller than the first; new ones with so much more
+   * that the sum over both is kept. A square refused more at their first attempt and served fewer.
    *
    * @param share share of the requests to refuse, from 0 to 1
    * @param returned whether the request is a returned one
    * @return the share of its kind to refuse, from 0 to 1
    */
   public double shareToRefuse(double share, boolean returned) {
-    double ofReturned = share * share;
+    double ofReturned = share * Math.sqrt(share);
     double p = Math.min(MAX_PORTION, portion);
     return returned ? ofReturned : Math.min(1, (share - p * ofReturned) / (1 - p));
   }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/request/EarlyRefusalFilter.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/request/EarlyRefusalFilter.java
@@ -103,7 +103,9 @@
       return v;
     }
     long nowNanos = deps.clock().getAsLong();
-    long delayMillis = delays.delayMillis(x.context().remainingNanos(nowNanos));
+    long delayMillis =
+        delays.delayMillis(
+            x.context().remainingNanos(nowNanos), x.route().latencyObjectiveMillis());
     long returnNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(delayMillis);
     x.account().ifPresent(a -> returned.expect(a, x.context().route(), returnNanos));
     return new Verdict.NotRun(n.code(), delayMillis);
