--- a/org.pomelohollow.wire/src/test/java/org/pomelohollow/wire/WireCodecTest.java
+++ b/org.pomelohollow.wire/src/test/java/org/pomelohollow/wire/WireCodecTest.java
@@ -7,6 +7,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.IntStream;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -14,6 +15,10 @@
 import org.pomelohollow.decision.config.ConfigProposal;
 import org.pomelohollow.decision.config.ConfigState;
 import org.pomelohollow.decision.config.ConfigTransfer;
+import org.pomelohollow.decision.fairness.AccountDemand;
+import org.pomelohollow.decision.fairness.DemandReport;
+import org.pomelohollow.decision.fairness.DemandSummary;
+import org.pomelohollow.decision.fairness.RankDemand;
 import org.pomelohollow.decision.membership.Heartbeat;
 import org.pomelohollow.decision.quota.LeaseAcknowledgement;
 import org.pomelohollow.decision.quota.LeaseRenewal;
@@ -89,6 +94,21 @@
     }
   }
 
+  /** A home gets up to 200 reports a second and replies to each. */
+  @Example
+  void demandMessagesSurviveEncodingAndStaySmall() {
+    ServiceId s = new ServiceId("service-0123");
+    List<AccountDemand> demands =
+        IntStream.range(0, 24)
+            .mapToObj(i -> new AccountDemand(new AccountId("account-" + (1_000 + i)), 2, 7.25 + i))
+            .toList();
+    List<AccountDemand> counts = demands.subList(0, DemandReport.MAX_DEMANDS);
+    assertSurvivesEncodingWithin(new DemandReport(s, counts), 420);
+    assertSurvivesEncodingWithin(
+        new DemandSummary(s, List.of(new RankDemand(1, 812.5, 72)), demands), 640);
+    assertThrows(IllegalArgumentException.class, () -> new DemandReport(s, demands));
+  }
+
   @Example
   void aLogEntryIsNotAPeerMessage() {
     byte[] b = codec.encode(new ConfigProposal("c", 0, "t"));
