--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionController.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionController.java
@@ -30,19 +30,6 @@
   /** Least number of running requests far above their routes' latency that indicates a stall. */
   private static final int MIN_STALLED_REQUESTS = 12;
 
-  /**
-   * Factor on the queue's length for callers' requests whose waits are estimated, since a third of
-   * an objective is several times the held time of most requests.
-   */
-  private static final int ESTIMATED_QUEUE_FACTOR = 4;
-
-  /**
-   * Weight in the pressure of queued requests whose waits are estimated: they may wait 8/3 as long,
-   * and the full queue is to count as much as that of the shorter wait. At full weight the pressure
-   * overshoots while the longer queue drains, and slots stay idle after it.
-   */
-  private static final double ESTIMATED_QUEUE_WEIGHT = 3.0 / 8;
-
   private final ZoneId zone;
   private final TargetLimit targetLimit;
   private final AdmissionQueues queues = new AdmissionQueues(this::weight);
@@ -102,13 +89,13 @@
       refuse(t, refusalReason.get(), nowNanos);
     } else if (!serviceTimes.canFinish(context, nowNanos)) {
       refuse(t, ErrorCode.DEADLINE_EXCEEDED, nowNanos);
-    } else if (isScarce() && !startsInTime(t)) {
+    } else if (!bulk && isScarce() && !startsInTime(t)) {
       shed(t, nowNanos);
     } else {
       slots.recordOffer(bulk, nowNanos);
       queues.of(t).add(t);
       startQueued(nowNanos);
-      shedExcess(queues.of(t), nowNanos);
+      shedExcess(queues.of(t), !bulk && mayEstimateQueue(), nowNanos);
     }
     return t;
   }
@@ -313,14 +300,7 @@
   private void advanceTo(long nowNanos) {
     latestNanos = nowNanos;
     cutOff.update(targetLimit.limit(), inFlight(), nowNanos);
-    pressure.update(inFlight() + pressingQueue(), targetLimit.limit(), nowNanos);
-  }
-
-  /** Returns the queued requests as they count in the pressure. */
-  private double pressingQueue() {
-    return isScarce()
-        ? queues.size() - (1 - ESTIMATED_QUEUE_WEIGHT) * queues.accountSize()
-        : queues.size();
+    pressure.update(inFlight() + queues.pressingSize(isScarce()), targetLimit.limit(), nowNanos);
   }
 
   private void startQueued(long nowNanos) {
@@ -363,10 +343,8 @@
   }
 
   /** Sheds the requests that would be served last until the queue is within its bound. */
-  private void shedExcess(AdmissionQueue q, long nowNanos) {
-    int factor = mayEstimateQueue() ? ESTIMATED_QUEUE_FACTOR : 1;
-    int bound = targetLimit.queueBound();
-    while (q.size() - q.accountSize() + q.accountSize() / factor > bound) {
+  private void shedExcess(AdmissionQueue q, boolean estimated, long nowNanos) {
+    while (!q.isWithin(targetLimit.queueBound(), estimated)) {
       Ticket t = q.last().orElseThrow();
       q.remove(t);
       shed(t, nowNanos);
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionQueue.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionQueue.java
@@ -13,6 +13,12 @@
  * slots fairly between client accounts within a priority.
  */
 final class AdmissionQueue {
+  /**
+   * Factor on the queue's length for callers' requests whose waits are estimated, since a third of
+   * an objective is several times the held time of most requests.
+   */
+  private static final int ESTIMATED_LENGTH_FACTOR = 4;
+
   private final ToDoubleFunction<Ticket> weightOf;
   private final List<FairQueue> queuesByRank = new ArrayList<>();
   private int size;
@@ -34,7 +40,18 @@
     return size;
   }
 
-  /** Returns the number of queued requests that are charged to an account. */
+  /**
+   * Returns whether the queue is within its bound.
+   *
+   * @param bound longest queue
+   * @param estimated whether the waits of callers' requests are estimated; more of them may wait
+   */
+  boolean isWithin(int bound, boolean estimated) {
+    int counted = estimated ? size - accountSize + accountSize / ESTIMATED_LENGTH_FACTOR : size;
+    return counted <= bound;
+  }
+
+  /** Returns the number of queued requests that are charged to an account: callers' requests. */
   int accountSize() {
     return accountSize;
   }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionQueues.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionQueues.java
@@ -8,6 +8,13 @@
 
 /** Queues of a target's short requests and of its bulk requests, which wait apart. */
 final class AdmissionQueues {
+  /**
+   * Weight in the pressure of queued requests whose waits are estimated: they may wait 8/3 as long,
+   * and the full queue is to count as much as that of the shorter wait. At full weight the pressure
+   * overshoots while the longer queue drains, and slots stay idle after it.
+   */
+  private static final double ESTIMATED_WEIGHT = 3.0 / 8;
+
   private final AdmissionQueue shortRequests;
   private final AdmissionQueue bulkRequests;
 
@@ -30,9 +37,13 @@
     return shortRequests.size() + bulkRequests.size();
   }
 
-  /** Returns the number of queued requests that are charged to an account: callers' requests. */
-  int accountSize() {
-    return shortRequests.accountSize() + bulkRequests.accountSize();
+  /**
+   * Returns the number of queued requests as it counts in the pressure.
+   *
+   * @param estimated whether the waits of callers' short requests are estimated
+   */
+  double pressingSize(boolean estimated) {
+    return estimated ? size() - (1 - ESTIMATED_WEIGHT) * shortRequests.accountSize() : size();
   }
 
   int shortSize() {
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/fairness/MaxMinLevel.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/fairness/MaxMinLevel.java
@@ -14,6 +14,7 @@
   private final double[] demands;
   private final double[] weights;
   private final double total;
+  private final double totalWeight;
 
   /**
    * Creates a division of a list of demands.
@@ -27,6 +28,7 @@
     demands = Arrays.stream(sorted).mapToDouble(Share::demand).toArray();
     weights = Arrays.stream(sorted).mapToDouble(Share::weight).toArray();
     total = Arrays.stream(demands).sum();
+    totalWeight = Arrays.stream(weights).sum();
   }
 
   /** Returns the sum of all demands. */
@@ -42,7 +44,7 @@
    */
   double level(double capacity) {
     double left = capacity;
-    double weightLeft = Arrays.stream(weights).sum();
+    double weightLeft = totalWeight;
     for (int i = 0; i < demands.length; i++) {
       if (demandPerWeight[i] * weightLeft > left) {
         return Math.max(0, left) / weightLeft;
