--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionQueue.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionQueue.java
@@ -13,9 +13,16 @@
  * slots fairly between client accounts within a priority.
  */
 final class AdmissionQueue {
+  /**
+   * Factor on the queue's length for callers' requests whose waits are estimated, since a third of
+   * an objective is several times the held time of most requests.
+   */
+  private static final int ESTIMATED_LENGTH_FACTOR = 4;
+
   private final ToDoubleFunction<Ticket> weightOf;
   private final List<FairQueue> queuesByRank = new ArrayList<>();
   private int size;
+  private int accountSize;
 
   /**
    * Creates an empty queue.
@@ -33,9 +40,31 @@
     return size;
   }
 
+  /**
+   * Returns whether the queue is within its bound.
+   *
+   * @param bound longest queue
+   * @param estimated whether the waits of callers' requests are estimated; more of them may wait
+   */
+  boolean isWithin(int bound, boolean estimated) {
+    int counted = estimated ? size - accountSize + accountSize / ESTIMATED_LENGTH_FACTOR : size;
+    return counted <= bound;
+  }
+
+  /** Returns the number of queued requests that are charged to an account: callers' requests. */
+  int accountSize() {
+    return accountSize;
+  }
+
+  /** Returns the number of queued requests of a priority and of all more important ones. */
+  int sizeUpTo(Priority p) {
+    return queuesByRank.stream().limit(p.rank() + 1L).mapToInt(FairQueue::size).sum();
+  }
+
   void add(Ticket t) {
     queue(t).add(t, weightOf.applyAsDouble(t));
     size++;
+    accountSize += accountCount(t);
   }
 
   Optional<Ticket> peek() {
@@ -45,6 +74,7 @@
   Ticket poll() {
     Ticket t = firstNonEmptyQueue().poll();
     size--;
+    accountSize -= accountCount(t);
     return t;
   }
 
@@ -62,6 +92,7 @@
     boolean removed = queue(t).remove(t);
     if (removed) {
       size--;
+      accountSize -= accountCount(t);
     }
     return removed;
   }
@@ -73,6 +104,7 @@
     List<Ticket> out = new ArrayList<>();
     queuesByRank.forEach(q -> out.addAll(q.removeIf(p)));
     size -= out.size();
+    out.forEach(t -> accountSize -= accountCount(t));
     return out;
   }
 
@@ -84,6 +116,10 @@
     queuesByRank.forEach(FairQueue::removeIdleAccounts);
   }
 
+  private static int accountCount(Ticket t) {
+    return t.context().account().isPresent() ? 1 : 0;
+  }
+
   private FairQueue firstNonEmptyQueue() {
     for (FairQueue q : queuesByRank) {
       if (q.size() > 0) {
