Use the slowdown that targets report in routing, limits and deadlines

Cause: a host that is slow for 600 ms is known by latency only after its phase; a daemon restarted beside a busy target uses slots that are taken; a request that a slow host cannot finish in time is sent there all the same. Change: the adapter decodes the load header; ReportedLoadTracker keeps it with age and incarnation; the load report carries the slowdown; entries compare expected times to completion with a mean that is normalized by the slowdown; the limit leaves out foreign slots; work that is late only because of the slowdown is refused as not run and may be tried elsewhere. Measured: ReportedLoadTrackerTest, ReportedLoadAdmissionTest, ReportedSlowdownRoutingTest and PlatformTargetProtocolTest pass.

--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/DaemonMetrics.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/DaemonMetrics.java
@@ -46,6 +46,7 @@
     registerGauge("pomelohollow.target.limit", () -> load.get().limit());
     registerGauge("pomelohollow.target.running", () -> load.get().inFlight());
     registerGauge("pomelohollow.target.queued", () -> load.get().queued());
+    registerGauge("pomelohollow.target.slowdown", () -> load.get().slowdown());
     registerGauge("pomelohollow.links", links);
     registerGauge("pomelohollow.config.version", version);
     registerGauge("pomelohollow.config.age.milliseconds", configAge);
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetAttempt.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetAttempt.java
@@ -14,7 +14,9 @@
 import org.pomelohollow.decision.guard.RecordedResponse;
 import org.pomelohollow.errors.ErrorCode;
 import org.pomelohollow.model.HeaderField;
+import org.pomelohollow.model.ReportedLoad;
 import org.pomelohollow.model.RequestContext;
+import org.pomelohollow.model.TargetIncarnation;
 import org.pomelohollow.model.TargetLoad;
 import org.pomelohollow.model.TargetNotice;
 import org.pomelohollow.model.Verdict;
@@ -112,13 +114,21 @@
   }
 
   @Override
-  public void headReceived(TargetNotice notice, long sentNanos) {
-    if (node.admission().notices().recordResponse(notice, sentNanos, clock.getAsLong())) {
+  public void headReceived(TargetNotice notice, Optional<ReportedLoad> load, long sentNanos) {
+    long now = clock.getAsLong();
+    load.ifPresent(l -> recordLoad(notice.target(), l, now));
+    if (node.admission().notices().recordResponse(notice, sentNanos, now)) {
       Logger.info("target: says in its response to {}: {}", context.requestId(), notice);
       node.handle(new Event.TargetNoticeChanged());
     }
   }
 
+  private void recordLoad(TargetIncarnation from, ReportedLoad l, long nowNanos) {
+    if (node.admission().recordTargetReport(from, l, nowNanos)) {
+      Logger.info("load: {} reports {}", from, node.admission().describeTargetReport(nowNanos));
+    }
+  }
+
   @Override
   public void responseStarted(int status, TargetExchangeListener.StreamedResponse response) {
     if (ended) {
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetExchange.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetExchange.java
@@ -205,6 +205,7 @@
     if (!ended) {
       listener.headReceived(
           new TargetNotice(target, protocol.requestsPerSecond(h), protocol.isLeaving(h)),
+          protocol.reportedLoad(h),
           sentNanos);
     }
   }
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetExchangeListener.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetExchangeListener.java
@@ -2,8 +2,10 @@
 
 import io.netty.buffer.ByteBuf;
 import java.util.List;
+import java.util.Optional;
 import org.pomelohollow.errors.ErrorCode;
 import org.pomelohollow.model.HeaderField;
+import org.pomelohollow.model.ReportedLoad;
 import org.pomelohollow.model.TargetNotice;
 import reactor.core.publisher.Flux;
 
@@ -14,9 +16,10 @@
    * before the other methods.
    *
    * @param notice what the target says of itself in the head
+   * @param load load that the target reports in the head, if it does
    * @param sentNanos monotonic time at which the request was sent, in nanoseconds
    */
-  void headReceived(TargetNotice notice, long sentNanos);
+  void headReceived(TargetNotice notice, Optional<ReportedLoad> load, long sentNanos);
 
   /**
    * The head of the response has arrived; the body follows as a stream.
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/protocol/TargetProtocol.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/protocol/TargetProtocol.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import org.pomelohollow.decision.TargetAnnouncement;
 import org.pomelohollow.model.HeaderField;
+import org.pomelohollow.model.ReportedLoad;
 import org.pomelohollow.model.RequestContext;
 
 /** Protocol between a daemon and its target: header fields and the meaning of responses. */
@@ -58,6 +59,16 @@
     return false;
   }
 
+  /**
+   * Returns the load that the target reports of itself in a response.
+   *
+   * @param h header fields as received
+   * @return the load; empty if the target reports none, or an invalid one
+   */
+  default Optional<ReportedLoad> reportedLoad(HttpHeaders h) {
+    return Optional.empty();
+  }
+
   /** Kind of a response. */
   sealed interface ResponseKind {
     /** The response belongs to the request. */
--- a/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/internal/call/TargetConnectionTest.java
+++ b/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/internal/call/TargetConnectionTest.java
@@ -21,6 +21,7 @@
 import org.pomelohollow.junit.RequestContexts;
 import org.pomelohollow.model.Endpoint;
 import org.pomelohollow.model.HeaderField;
+import org.pomelohollow.model.ReportedLoad;
 import org.pomelohollow.model.RequestContext;
 import org.pomelohollow.model.ServiceId;
 import org.pomelohollow.model.TargetNotice;
@@ -254,7 +255,7 @@
     private Optional<Reader> reader = Optional.empty();
 
     @Override
-    public void headReceived(TargetNotice notice, long sentNanos) {
+    public void headReceived(TargetNotice notice, Optional<ReportedLoad> load, long sentNanos) {
       // The outcome alone is recorded.
     }
 
--- a/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/load/LoadSimulation.java
+++ b/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/load/LoadSimulation.java
@@ -41,6 +41,7 @@
   final Map<String, Double> childWorkMillis = new HashMap<>();
   int maxAttempts = 3;
   boolean earlyRefusalEnabled = true;
+  LoadReporting loadReporting = LoadReporting.NONE;
   private final Map<String, ServiceEntry> services = new LinkedHashMap<>();
   private final Map<String, ZoneEntry> zones = new LinkedHashMap<>();
   private final Map<String, AccountEntry> accounts = new LinkedHashMap<>();
@@ -106,6 +107,12 @@
     return this;
   }
 
+  /** Makes targets report their load in their responses. */
+  public LoadSimulation withLoadReporting(LoadReporting r) {
+    loadReporting = r;
+    return this;
+  }
+
   /** Schedules an action at a time in seconds since the start. */
   public LoadSimulation schedule(double second, Runnable action) {
     long atNanos = startNanos + (long) (second * 1e9);
--- a/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/load/SimulatedCall.java
+++ b/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/load/SimulatedCall.java
@@ -169,6 +169,9 @@
     if (ticket != null && job != null) {
       executor.removeJob(job);
       simulation.recordWork(workNanos, !ok);
+      if (c == Completion.RESPONDED) {
+        executor.reportLoad(simulation.loadReporting);
+      }
       executor.admission().complete(ticket, c, simulation.now());
       reportToRouter(
           c == Completion.RESPONDED
--- a/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/load/SimulatedDaemon.java
+++ b/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/load/SimulatedDaemon.java
@@ -103,16 +103,26 @@
 
   /** Announces the target to its daemon. */
   public void announce() {
-    TargetAnnouncement a =
-        new TargetAnnouncement(
-            service,
-            ANY_ADDRESS,
-            "i" + incarnation,
-            announcedSlots,
-            announcedSlots * 4,
-            announcedCold,
-            0);
-    admission.handle(new Event.TargetAnnounced(a), simulation.now());
+    admission.handle(new Event.TargetAnnounced(announcement()), simulation.now());
+  }
+
+  /** Passes on the load that the target reports in a response. */
+  void reportLoad(LoadReporting reporting) {
+    reporting
+        .report(target)
+        .ifPresent(
+            r -> admission.recordTargetReport(announcement().incarnation(), r, simulation.now()));
+  }
+
+  private TargetAnnouncement announcement() {
+    return new TargetAnnouncement(
+        service,
+        ANY_ADDRESS,
+        "i" + incarnation,
+        announcedSlots,
+        announcedSlots * 4,
+        announcedCold,
+        0);
   }
 
   /** Restarts the target, whose jobs fail. */
--- a/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/load/SimulatedTarget.java
+++ b/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/load/SimulatedTarget.java
@@ -58,6 +58,14 @@
     return overAdmitted;
   }
 
+  int slots() {
+    return slots;
+  }
+
+  double slowdown() {
+    return slowdown;
+  }
+
   public int inFlight() {
     return jobs.size();
   }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionController.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionController.java
@@ -12,7 +12,9 @@
 import org.pomelohollow.document.RouteEntry;
 import org.pomelohollow.errors.ErrorCode;
 import org.pomelohollow.model.Priority;
+import org.pomelohollow.model.ReportedLoad;
 import org.pomelohollow.model.RequestContext;
+import org.pomelohollow.model.TargetIncarnation;
 import org.pomelohollow.model.TargetLoad;
 import org.pomelohollow.model.TargetState;
 import org.pomelohollow.model.Verdict;
@@ -88,9 +90,7 @@
     Optional<ErrorCode> refusalReason = refusalReason();
     if (refusalReason.isPresent()) {
       refuse(t, refusalReason.get(), nowNanos);
-    } else if (!serviceTimes.canFinish(context, nowNanos)) {
-      refuse(t, ErrorCode.DEADLINE_EXCEEDED, nowNanos);
-    } else {
+    } else if (!refuseIfLate(t, nowNanos)) {
       slots.recordOffer(bulk, nowNanos);
       queues.of(t).add(t);
       startQueued(nowNanos);
@@ -122,7 +122,8 @@
     long heldNanos = nowNanos - t.startedNanos();
     queues.of(t).correctCharge(t, heldNanos);
     if (completion == Completion.RESPONDED) {
-      serviceTimes.addSample(t.context().route(), heldNanos);
+      double slowdown = targetLimit.reportedLoad().slowdown(nowNanos);
+      serviceTimes.addSample(t.context().route(), heldNanos, slowdown);
     }
     if (!t.isBulk()) {
       targetLimit.recordCompletion(t, s, nowNanos);
@@ -185,7 +186,8 @@
         inFlight(),
         queues.size(),
         cutOff.current(),
-        pressureToReport);
+        pressureToReport,
+        targetLimit.reportedLoad().slowdown(latestNanos));
   }
 
   /**
@@ -213,6 +215,26 @@
     return targetLimit.notices();
   }
 
+  /**
+   * Records the load that the target reports in a response.
+   *
+   * @param from incarnation of the target that sent the response
+   * @param r the report
+   * @param nowNanos current monotonic time, in nanoseconds
+   * @return whether operators should learn of it: the first report of the incarnation, or the first
+   *     one by which slots are taken by requests that this daemon did not send
+   */
+  public boolean recordTargetReport(TargetIncarnation from, ReportedLoad r, long nowNanos) {
+    boolean notable = targetLimit.reportedLoad().record(from, r, inFlight(), nowNanos);
+    advanceTo(nowNanos);
+    return notable;
+  }
+
+  /** Describes the load that the target last reported. */
+  public String describeTargetReport(long nowNanos) {
+    return targetLimit.reportedLoad().describe(nowNanos);
+  }
+
   /** Returns the state of the target to send to peers, or empty without a target. */
   public Optional<TargetState> targetState() {
     return targetLimit.state(isDraining(), latestNanos);
@@ -254,6 +276,7 @@
         .line("cold", targetLimit.isCold(nowNanos))
         .line("limit", targetLimit.limit())
         .line("notice", notices().current())
+        .line("reported load", describeTargetReport(nowNanos))
         .line("in flight", inFlight())
         .line("large transfers in flight", slots.bulkInFlight())
         .line("queued calls", queues.shortSize())
@@ -299,6 +322,7 @@
 
   private void advanceTo(long nowNanos) {
     latestNanos = nowNanos;
+    targetLimit.advanceTo(nowNanos);
     cutOff.update(targetLimit.limit(), inFlight(), nowNanos);
     pressure.update(inFlight() + queues.size(), targetLimit.limit(), nowNanos);
   }
@@ -329,8 +353,7 @@
 
   private void startOrRefuse(Ticket t, long nowNanos) {
     queues.of(t).poll();
-    if (!serviceTimes.canFinish(t.context(), nowNanos)) {
-      refuse(t, ErrorCode.DEADLINE_EXCEEDED, nowNanos);
+    if (refuseIfLate(t, nowNanos)) {
       return;
     }
     slots.acquire(t.isBulk());
@@ -387,8 +410,20 @@
   }
 
   private void refuse(Ticket t, ErrorCode code, long nowNanos) {
+    refuse(t, new Verdict.NotRun(code, overload.retryAfterMillis(code, nowNanos)));
+  }
+
+  private void refuse(Ticket t, Verdict.NotRun v) {
     t.end();
-    t.listener().refused(new Verdict.NotRun(code, overload.retryAfterMillis(code, nowNanos)));
+    t.listener().refused(v);
+  }
+
+  /** Refuses a request that cannot finish by its deadline, and returns whether it did so. */
+  private boolean refuseIfLate(Ticket t, long nowNanos) {
+    double slowdown = targetLimit.reportedLoad().slowdown(nowNanos);
+    Optional<Verdict.NotRun> v = serviceTimes.refusal(t.context(), slowdown, nowNanos);
+    v.ifPresent(r -> refuse(t, r));
+    return v.isPresent();
   }
 
   /** Handle of an open outbound call of a running request. */
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/TargetLimit.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/TargetLimit.java
@@ -17,7 +17,8 @@
  * rate instead of by a cold-start limit. Where the operator states neither a rate nor slots for
  * cold targets, a cold target is slower but runs as many requests as a warm one: entry daemons send
  * it fewer requests, and nothing else limits it. A target that names a request rate is bounded by
- * that rate besides.
+ * that rate besides. Where the target reports its slowdown, slots that it says are taken by
+ * requests of others are not used.
  */
 final class TargetLimit {
   /** Time between announcements after which the target may have restarted unnoticed. */
@@ -33,6 +34,8 @@
   private final ColdStartLimit coldStart = new ColdStartLimit();
   private final LatencyJumpDetector latencyJump = new LatencyJumpDetector();
   private final TargetNotices notices = new TargetNotices();
+  private final ReportedLoadTracker reportedLoad = new ReportedLoadTracker();
+  private int foreignSlots;
   private Optional<TargetAnnouncement> announcement = Optional.empty();
   private Optional<Document> document = Optional.empty();
   private Optional<ColdRateLimiter> coldRateLimiter = Optional.empty();
@@ -53,6 +56,16 @@
     return notices;
   }
 
+  /** Returns the load that the target reports of itself. */
+  ReportedLoadTracker reportedLoad() {
+    return reportedLoad;
+  }
+
+  /** Sets the time to which {@link #limit()} applies. */
+  void advanceTo(long nowNanos) {
+    foreignSlots = reportedLoad.foreignSlots(nowNanos);
+  }
+
   boolean isCold(long nowNanos) {
     if (coldRateLimiter.isPresent()) {
       return coldRateLimiter.get().isCold(nowNanos);
@@ -94,6 +107,11 @@
     if (announcement.isEmpty()) {
       return 0;
     }
+    int limit = limitWithoutForeignRequests();
+    return foreignSlots == 0 ? limit : Math.max(1, limit - foreignSlots);
+  }
+
+  private int limitWithoutForeignRequests() {
     if (!hasColdStartLimit()) {
       return algorithm.limit();
     }
@@ -160,6 +178,7 @@
     boolean isContinuous =
         sameIncarnation && nowNanos - announcedNanos <= MAX_ANNOUNCEMENT_GAP_NANOS;
     notices.setTarget(a.incarnation());
+    reportedLoad.setTarget(a.incarnation());
     announcement = Optional.of(a);
     announcedNanos = nowNanos;
     updateCeiling();
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/routing/MemberStats.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/routing/MemberStats.java
@@ -2,6 +2,7 @@
 
 import org.pomelohollow.model.Member;
 import org.pomelohollow.model.Priority;
+import org.pomelohollow.model.SlowdownDecay;
 import org.pomelohollow.model.TargetLoad;
 import org.pomelohollow.model.TargetState;
 
@@ -25,6 +26,10 @@
   private TargetLoad lastLoad = TargetLoad.UNKNOWN;
   private long loadReportedNanos = Long.MIN_VALUE;
   private double latencyNanos;
+
+  /** Mean of the latencies, each divided by the slowdown that was reported with it. */
+  private double usualLatencyNanos;
+
   private int consecutiveFailures;
   private int ejections;
   private long ejectedUntilNanos = Long.MIN_VALUE;
@@ -58,7 +63,7 @@
             });
     if (result.outcome() == AttemptResult.Outcome.RESPONDED) {
       consecutiveFailures = 0;
-      addLatency(result.latencyNanos());
+      addLatency(result);
     } else if (result.outcome() == AttemptResult.Outcome.LOST || isUnreachable(result)) {
       consecutiveFailures++;
     }
@@ -104,6 +109,34 @@
     return utilization(m, nowNanos) + 1.0 / limit;
   }
 
+  /** Returns whether the member's target reports its slowdown. */
+  boolean hasSlowdown(long nowNanos) {
+    return slowdown(nowNanos) > 0;
+  }
+
+  /**
+   * Returns the expected time to completion of one more request: the work ahead over the limit plus
+   * one, times the mean time at the usual speed, times the slowdown now.
+   *
+   * @return the time in nanoseconds, 0 without a response so far
+   */
+  double expectedCompletionNanos(Member m, long nowNanos) {
+    return relativeCompletion(m, nowNanos) * usualLatencyNanos;
+  }
+
+  /** Returns the expected time to completion over the mean time at the usual speed. */
+  double relativeCompletion(Member m, long nowNanos) {
+    double slowdown = slowdown(nowNanos);
+    return (utilization(m, nowNanos) + 1) * (slowdown > 0 ? slowdown : 1);
+  }
+
+  /** Returns the slowdown, which decays towards 1 with the age of the load report; 0 if unknown. */
+  private double slowdown(long nowNanos) {
+    return lastLoad.hasSlowdown()
+        ? SlowdownDecay.decayed(lastLoad.slowdown(), nowNanos - loadReportedNanos)
+        : TargetLoad.SLOWDOWN_UNKNOWN;
+  }
+
   @Override
   public String toString() {
     return outstanding + " outstanding, " + lastLoad + ", latency " + (long) latencyNanos + " ns";
@@ -117,8 +150,15 @@
     return result.outcome() == AttemptResult.Outcome.REFUSED && result.load().isEmpty();
   }
 
-  private void addLatency(long nanos) {
-    latencyNanos += latencyNanos == 0 ? nanos : LATENCY_SMOOTHING * (nanos - latencyNanos);
+  private void addLatency(AttemptResult r) {
+    double slowdown =
+        r.load().filter(TargetLoad::hasSlowdown).map(TargetLoad::slowdown).orElse(1.0);
+    latencyNanos = smoothed(latencyNanos, (double) r.latencyNanos());
+    usualLatencyNanos = smoothed(usualLatencyNanos, r.latencyNanos() / slowdown);
     ejections = 0;
   }
+
+  private static double smoothed(double mean, double newest) {
+    return mean + (mean == 0 ? newest : LATENCY_SMOOTHING * (newest - mean));
+  }
 }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/routing/Router.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/routing/Router.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.ToDoubleFunction;
 import java.util.random.RandomGenerator;
 import org.pomelohollow.decision.Controller;
 import org.pomelohollow.decision.Event;
@@ -22,10 +23,10 @@
  *
  * <p>Chooses the better of two random members (Mitzenmacher, 1996) of the own availability zone. If
  * that one is busy, it is compared with the better of two random members of the other zones. The
- * cost of a member is its utilization times its latency. The utilization is the number of its
- * requests over the limit that its daemon reports, so that a target in cold start gets few
- * requests. Members that fail several times in a row are ejected for a time, but never more than
- * half of them.
+ * cost of a member is its utilization times its latency, or its expected time to completion where
+ * targets report how slow their hosts are. The utilization is the number of its requests over the
+ * limit that its daemon reports, so that a target in cold start gets few requests. Members that
+ * fail several times in a row are ejected for a time, but never more than half of them.
  */
 public final class Router implements Controller {
   private static final String PART = "routing";
@@ -194,6 +195,9 @@
    * Returns the member with the lower cost. The latencies are ignored if one of them is unknown.
    */
   private Member better(Member first, Member second, long nowNanos) {
+    if (stats(first).hasSlowdown(nowNanos) || stats(second).hasSlowdown(nowNanos)) {
+      return soonerDone(first, second, nowNanos);
+    }
     double firstLatencyNanos = stats(first).latencyNanos();
     double secondLatencyNanos = stats(second).latencyNanos();
     double firstCost =
@@ -205,6 +209,18 @@
     return firstCost <= secondCost ? first : second;
   }
 
+  /** Returns the member that is expected to complete a request sooner. */
+  private Member soonerDone(Member first, Member second, long nowNanos) {
+    boolean timed = stats(first).latencyNanos() > 0 && stats(second).latencyNanos() > 0;
+    ToDoubleFunction<Member> cost =
+        m ->
+            (timed
+                    ? stats(m).expectedCompletionNanos(m, nowNanos)
+                    : stats(m).relativeCompletion(m, nowNanos))
+                / zoneRampUp.weight(m.zone(), nowNanos);
+    return cost.applyAsDouble(first) <= cost.applyAsDouble(second) ? first : second;
+  }
+
   private double weightedNextUtilization(Member m, long nowNanos) {
     return stats(m).nextUtilization(m, nowNanos) / zoneRampUp.weight(m.zone(), nowNanos);
   }
