Start requests with long bodies at their heads

Cause: a request whose body is longer than 16 KB started once 16 KB had been received, so an upload that is refused was refused only after them; a caller that keeps its body back got no response at all. Change: a request whose head names a length above 16 KB starts with its head, unless its caller waits for an interim response. As before, the body flows to the target's daemon only when that has admitted the request. Shorter bodies are still read first. Found: routes of the kind upload were handled as not idempotent already, since only safe and download are, and an upload that may have run was not repeated. Measured: of five cases of UploadTest, the two on refusals before the body timed out after 20 s before the change; all five pass with it.

--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/BodyReader.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/BodyReader.java
@@ -14,7 +14,8 @@
 
 /**
  * Reads the body of one request. A short body is buffered until it is complete; a longer one
- * becomes a stream, so that the request starts before its body has been received.
+ * becomes a stream, so that the request starts before its body has been received: with its head if
+ * that names the length, so that a refusal costs no body.
  */
 final class BodyReader {
   /** Largest body that is read completely before the request starts, in bytes. */
@@ -73,6 +74,19 @@
     return last;
   }
 
+  /**
+   * Makes a body of which nothing has been received a stream if its length is known to be greater
+   * than that of a buffered one.
+   *
+   * @return whether the request can start now
+   */
+  boolean streamIfLong() {
+    if (length > MAX_BUFFERED_BYTES) {
+      rest = Optional.of(Sinks.many().unicast().onBackpressureBuffer());
+    }
+    return rest.isPresent();
+  }
+
   /** Returns whether the request has started before its body was complete. */
   boolean isStreamed() {
     return rest.isPresent();
@@ -83,10 +97,12 @@
     if (rest.isEmpty()) {
       return RequestBody.buffered(buffered.toByteArray());
     }
+    Flux<ByteBuf> later = rest.get().asFlux().doOnNext(b -> countRead(b.readableBytes()));
+    if (buffered.size() == 0) {
+      return RequestBody.streamed(later, length);
+    }
     Flux<ByteBuf> first = Flux.just(Unpooled.wrappedBuffer(buffered.toByteArray()));
-    Flux<ByteBuf> all =
-        first.concatWith(rest.get().asFlux().doOnNext(b -> countRead(b.readableBytes())));
-    return RequestBody.streamed(all, length);
+    return RequestBody.streamed(first.concatWith(later), length);
   }
 
   /** Returns whether reading from the connection is to pause until the body has been read. */
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/InboundConnection.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/InboundConnection.java
@@ -216,6 +216,10 @@
     continueDue = HttpUtil.is100ContinueExpected(r);
     sendContinueIfDue();
     reader = new BodyReader(r, maxBodyBytes, () -> ctx.channel().config().setAutoRead(true));
+    // A caller that waits for an interim response gets it before its request starts.
+    if (!HttpUtil.is100ContinueExpected(r) && reader.streamIfLong()) {
+      startRequest(r, reader.createBody());
+    }
   }
 
   private void handleContent(HttpContent h) {
