--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionController.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionController.java
@@ -10,7 +10,9 @@
 import org.pomelohollow.document.Document;
 import org.pomelohollow.errors.ErrorCode;
 import org.pomelohollow.model.Priority;
+import org.pomelohollow.model.ReportedLoad;
 import org.pomelohollow.model.RequestContext;
+import org.pomelohollow.model.TargetIncarnation;
 import org.pomelohollow.model.TargetLoad;
 import org.pomelohollow.model.TargetState;
 import org.pomelohollow.model.Verdict;
@@ -87,11 +89,7 @@
     Optional<ErrorCode> refusalReason = refusalReason();
     if (refusalReason.isPresent()) {
       refuse(t, refusalReason.get(), nowNanos);
-    } else if (!serviceTimes.canFinish(context, nowNanos)) {
-      refuse(t, ErrorCode.DEADLINE_EXCEEDED, nowNanos);
-    } else if (!bulk && isScarce() && !startsInTime(t)) {
-      shed(t, nowNanos);
-    } else {
+    } else if (!refuseIfLate(t, nowNanos) && !shedIfWaitIsLong(t, nowNanos)) {
       slots.recordOffer(bulk, nowNanos);
       queues.of(t).add(t);
       startQueued(nowNanos);
@@ -123,7 +121,8 @@
     long heldNanos = nowNanos - t.startedNanos();
     queues.of(t).correctCharge(t, heldNanos);
     if (completion == Completion.RESPONDED) {
-      serviceTimes.addSample(t.context().route(), heldNanos);
+      double slowdown = targetLimit.reportedLoad().slowdown(nowNanos);
+      serviceTimes.addSample(t.context().route(), heldNanos, slowdown);
     }
     if (!t.isBulk()) {
       targetLimit.recordCompletion(t, s, nowNanos);
@@ -186,7 +185,8 @@
         inFlight(),
         queues.size(),
         cutOff.current(),
-        pressureToReport);
+        pressureToReport,
+        targetLimit.reportedLoad().slowdown(latestNanos));
   }
 
   /**
@@ -214,6 +214,26 @@
     return targetLimit.notices();
   }
 
+  /**
+   * Records the load that the target reports in a response.
+   *
+   * @param from incarnation of the target that sent the response
+   * @param r the report
+   * @param nowNanos current monotonic time, in nanoseconds
+   * @return whether operators should learn of it: the first report of the incarnation, or the first
+   *     one by which slots are taken by requests that this daemon did not send
+   */
+  public boolean recordTargetReport(TargetIncarnation from, ReportedLoad r, long nowNanos) {
+    boolean notable = targetLimit.reportedLoad().record(from, r, inFlight(), nowNanos);
+    advanceTo(nowNanos);
+    return notable;
+  }
+
+  /** Describes the load that the target last reported. */
+  public String describeTargetReport(long nowNanos) {
+    return targetLimit.reportedLoad().describe(nowNanos);
+  }
+
   /** Returns the state of the target to send to peers, or empty without a target. */
   public Optional<TargetState> targetState() {
     return targetLimit.state(isDraining(), latestNanos);
@@ -255,6 +275,7 @@
         .line("cold", targetLimit.isCold(nowNanos))
         .line("limit", targetLimit.limit())
         .line("notice", notices().current())
+        .line("reported load", describeTargetReport(nowNanos))
         .line("in flight", inFlight())
         .line("large transfers in flight", slots.bulkInFlight())
         .line("queued calls", queues.shortSize())
@@ -299,6 +320,7 @@
 
   private void advanceTo(long nowNanos) {
     latestNanos = nowNanos;
+    targetLimit.advanceTo(nowNanos);
     cutOff.update(targetLimit.limit(), inFlight(), nowNanos);
     pressure.update(inFlight() + queues.pressingSize(isScarce()), targetLimit.limit(), nowNanos);
   }
@@ -329,8 +351,7 @@
 
   private void startOrRefuse(Ticket t, long nowNanos) {
     queues.of(t).poll();
-    if (!serviceTimes.canFinish(t.context(), nowNanos)) {
-      refuse(t, ErrorCode.DEADLINE_EXCEEDED, nowNanos);
+    if (refuseIfLate(t, nowNanos)) {
       return;
     }
     slots.acquire(t.isBulk());
@@ -383,10 +404,20 @@
     return isScarce() && notices().requestRate().requestsPerSecond().isEmpty();
   }
 
+  /** Sheds a request that would start too late by the estimate of its wait; returns whether so. */
+  private boolean shedIfWaitIsLong(Ticket t, long nowNanos) {
+    if (t.isBulk() || !isScarce() || startsInTime(t)) {
+      return false;
+    }
+    shed(t, nowNanos);
+    return true;
+  }
+
   /** Returns whether a request would start early enough by the estimate of its wait. */
   private boolean startsInTime(Ticket t) {
     int ahead = queues.of(t).sizeUpTo(t.context().priority());
-    double waitNanos = ahead * serviceTimes.meanNanos() / Math.max(1, targetLimit.limit());
+    double heldNanos = serviceTimes.meanNanos(targetLimit.reportedLoad().slowdown(latestNanos));
+    double waitNanos = ahead * heldNanos / Math.max(1, targetLimit.limit());
     return waitBounds.startsInTime(t.context().route(), waitNanos);
   }
 
@@ -401,8 +432,20 @@
   }
 
   private void refuse(Ticket t, ErrorCode code, long nowNanos) {
+    refuse(t, new Verdict.NotRun(code, overload.retryAfterMillis(code, nowNanos)));
+  }
+
+  private void refuse(Ticket t, Verdict.NotRun v) {
     t.end();
-    t.listener().refused(new Verdict.NotRun(code, overload.retryAfterMillis(code, nowNanos)));
+    t.listener().refused(v);
+  }
+
+  /** Refuses a request that cannot finish by its deadline, and returns whether it did so. */
+  private boolean refuseIfLate(Ticket t, long nowNanos) {
+    double slowdown = targetLimit.reportedLoad().slowdown(nowNanos);
+    Optional<Verdict.NotRun> v = serviceTimes.refusal(t.context(), slowdown, nowNanos);
+    v.ifPresent(r -> refuse(t, r));
+    return v.isPresent();
   }
 
   /** Handle of an open outbound call of a running request. */
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/request/Exchange.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/request/Exchange.java
@@ -180,8 +180,7 @@
       return;
     }
     Verdict v =
-        OutageRetryDelay.addTo(
-            refusalMapper.apply(withPossibleRuns(verdict)), head.requestId());
+        OutageRetryDelay.addTo(refusalMapper.apply(withPossibleRuns(verdict)), head.requestId());
     if (finish(v)) {
       listener.refused(v);
     }
