Weigh the cost of crossing before a request leaves its zone

Cause: a request whose better of two targets at home was busier than 0.7 went to the target elsewhere with the lower utilization times latency. Latencies of single targets are noisy and load reports up to 1 s old, so a zone at 0.6 of its capacity sent out about 9% of its requests.

Change: ZoneSpill decides, as docs/design/zones.md says: by service, a damped share with a dead band, and an explicit cost of crossing in nanoseconds of waiting. Up to 0.7, ZoneRampUp and the subset are as before.

RouterTest.aZoneOutOfServiceGetsNothingAndReturnsGradually expected a target at 8 of 10 to send a request out, which the new rule keeps at home. It now uses a full target, and ten requests instead of one: at most one may go to the zone that has just returned, at least five once its ramp has ended. attemptsStayInAnOwnZoneWithFreeSlots is new.

--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/EntryPoint.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/EntryPoint.java
@@ -140,6 +140,7 @@
       InboundRequest in, CallerRequest r, String id, Optional<RequestContext> parent) {
     CallerExchange c = new CallerExchange(in, protocol, id, r.fieldsForTarget());
     Exchange x = new Exchange(head(in, r, id, parent), in.receivedNanos(), c);
+    x.setBodyBytes(in.body().lengthBytes());
     OpenExchange opened = new OpenExchange(c, x);
     exchanges.put(id, opened);
     Runnable cancel = x::cancel;
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/Node.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/Node.java
@@ -33,6 +33,7 @@
 import org.pomelohollow.decision.request.RouteFilter;
 import org.pomelohollow.decision.request.StaleConfigurationFilter;
 import org.pomelohollow.decision.routing.Router;
+import org.pomelohollow.decision.routing.ZoneSpill;
 import org.pomelohollow.model.Endpoint;
 import org.pomelohollow.model.Member;
 import org.pomelohollow.model.TargetLoad;
@@ -52,6 +53,7 @@
   private final AdmissionController admission;
   private final ClaimController claims;
   private final Guard guard;
+  private final ZoneSpill zones;
   private final List<Controller> controllers;
   private final FilterChain chain;
   private boolean dispatching;
@@ -81,7 +83,8 @@
         new MembershipController(setup.self(), setup.seeds(), config, random, effects);
     this.admission = new AdmissionController(setup.self().zone(), setup.settings().admission());
     RoutePressures pressures = new RoutePressures();
-    Router router = new Router(random);
+    this.zones = new ZoneSpill(random, effects);
+    Router router = new Router(random, zones);
     this.claims = new ClaimController(setup.self().id(), ClaimSettings.DEFAULT, effects);
     QuarantineController quarantine =
         new QuarantineController(setup.self().id(), setup.settings().quarantine(), random, effects);
@@ -114,6 +117,7 @@
             earlyRefusal,
             quota,
             router,
+            zones,
             admission,
             claims,
             quarantine,
@@ -239,6 +243,11 @@
     return config;
   }
 
+  /** Returns the policy that decides which requests leave the availability zone. */
+  public ZoneSpill zones() {
+    return zones;
+  }
+
   /** Returns the membership controller. */
   public MembershipController membership() {
     return membership;
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/attempt/AttemptSequence.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/attempt/AttemptSequence.java
@@ -55,7 +55,7 @@
     Attempt a = new Attempt(to, now, allowance.allocateToAttempt());
     exchange.setContext(exchange.context().withRetryAllowance(a.allowanceShare));
     exchange.attemptStarted();
-    deps.router().attemptStarted(to);
+    deps.router().attemptStarted(to, now);
     Runnable abandon = deps.transport().start(to, exchange, a);
     exchange.onEnd(v -> a.abandon(abandon));
   }
@@ -69,13 +69,14 @@
         return probation;
       }
     }
-    Optional<MemberId> untried = deps.router().choose(c.service(), tried, now);
+    Optional<MemberId> untried =
+        deps.router().choose(c.service(), tried, exchange.bodyBytes(), now);
     if (untried.isPresent() || tried.isEmpty()) {
       return untried;
     }
     tried.clear();
     lastTried.ifPresent(tried::add);
-    return deps.router().choose(c.service(), tried, now);
+    return deps.router().choose(c.service(), tried, exchange.bodyBytes(), now);
   }
 
   /** Retries after a failed attempt if that is safe and within all bounds, else refuses. */
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/request/Exchange.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/request/Exchange.java
@@ -26,6 +26,7 @@
   private Optional<RequestContext> context = Optional.empty();
   private Optional<Verdict> finalVerdict = Optional.empty();
   private int possiblyRunAttempts;
+  private long bodyBytes;
 
   /**
    * Creates an exchange.
@@ -128,6 +129,20 @@
     context = Optional.of(c);
   }
 
+  /** Returns the length of the request body in bytes, 0 if it is unknown. */
+  public long bodyBytes() {
+    return bodyBytes;
+  }
+
+  /**
+   * Sets the length of the request body.
+   *
+   * @param n length in bytes; negative if it is unknown
+   */
+  public void setBodyBytes(long n) {
+    bodyBytes = Math.max(0, n);
+  }
+
   /** Returns whether the exchange has ended. */
   public boolean hasEnded() {
     return finalVerdict.isPresent();
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/routing/MemberStats.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/routing/MemberStats.java
@@ -109,7 +109,8 @@
     return outstanding + " outstanding, " + lastLoad + ", latency " + (long) latencyNanos + " ns";
   }
 
-  private boolean hasRecentLoad(long nowNanos) {
+  /** Returns whether the last load report is recent enough to be used. */
+  boolean hasRecentLoad(long nowNanos) {
     return loadReportedNanos != Long.MIN_VALUE && nowNanos - loadReportedNanos < LOAD_VALID_NANOS;
   }
 
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/routing/Router.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/routing/Router.java
@@ -5,7 +5,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.ToDoubleFunction;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import org.pomelohollow.decision.Controller;
 import org.pomelohollow.decision.Event;
 import org.pomelohollow.decision.StateDump;
@@ -15,17 +18,18 @@
 import org.pomelohollow.model.Priority;
 import org.pomelohollow.model.Roster;
 import org.pomelohollow.model.ServiceId;
+import org.pomelohollow.model.TargetState;
 import org.pomelohollow.model.ZoneId;
 
 /**
  * Load balancer: chooses the member to whose target an attempt is sent.
  *
  * <p>Chooses the better of two random members (Mitzenmacher, 1996) of the own availability zone. If
- * that one is busy, it is compared with the better of two random members of the other zones. The
- * cost of a member is its utilization times its latency. The utilization is the number of its
- * requests over the limit that its daemon reports, so that a target in cold start gets few
- * requests. Members that fail several times in a row are ejected for a time, but never more than
- * half of them.
+ * that one is busy, a {@link ZonePolicy} decides between it and the better of two random members of
+ * another zone. The cost of a member is its utilization times its latency. The utilization is the
+ * number of its requests over the limit that its daemon reports, so that a target in cold start
+ * gets few requests. Members that fail several times in a row are ejected for a time, but never
+ * more than half of them.
  */
 public final class Router implements Controller {
   private static final String PART = "routing";
@@ -37,6 +41,8 @@
   private final Map<MemberId, MemberStats> statsByMember = new HashMap<>();
   private final Map<ServiceId, Candidates> candidates = new HashMap<>();
   private final ZoneRampUp zoneRampUp = new ZoneRampUp();
+  private final ZonePolicy zonePolicy;
+  private final CrossingListener crossings;
   private Optional<Roster> roster = Optional.empty();
   private Optional<Document> document = Optional.empty();
 
@@ -44,9 +50,23 @@
    * Creates a router without members.
    *
    * @param random source of the random choices
+   * @param zonePolicy decides which requests leave the own zone
+   * @param crossings notified of attempts that are sent to other zones
    */
-  public Router(RandomGenerator random) {
+  public Router(RandomGenerator random, ZonePolicy zonePolicy, CrossingListener crossings) {
     this.random = random;
+    this.zonePolicy = zonePolicy;
+    this.crossings = crossings;
+  }
+
+  /**
+   * Creates a router without members.
+   *
+   * @param random source of the random choices
+   * @param spill decides which requests leave the own zone, and counts them
+   */
+  public Router(RandomGenerator random, ZoneSpill spill) {
+    this(random, spill, spill::recordSentOutside);
   }
 
   /**
@@ -58,10 +78,28 @@
    * @return a member, or empty if all members of the service were tried
    */
   public Optional<MemberId> choose(ServiceId service, Set<MemberId> tried, long nowNanos) {
+    return choose(service, tried, 0, nowNanos);
+  }
+
+  /**
+   * Chooses a member that was not tried before.
+   *
+   * @param service service that is called
+   * @param tried members that earlier attempts of the request were sent to
+   * @param bodyBytes length of the request body in bytes, 0 if unknown
+   * @param nowNanos current monotonic time, in nanoseconds
+   * @return a member, or empty if all members of the service were tried
+   */
+  public Optional<MemberId> choose(
+      ServiceId service, Set<MemberId> tried, long bodyBytes, long nowNanos) {
     Candidates all = candidates(service);
     Candidates untried = tried.isEmpty() ? all : all.filter(m -> !tried.contains(m.id()));
     Candidates healthy = untried.filter(m -> !stats(m).isEjected(nowNanos));
-    return best(healthy.isEmpty() ? untried : healthy, nowNanos).map(Member::id);
+    Candidates c = healthy.isEmpty() ? untried : healthy;
+    if (zonePolicy.isDue(service, nowNanos)) {
+      updateZonePolicy(service, all, nowNanos);
+    }
+    return best(new Call(service, bodyBytes, !tried.isEmpty()), c, nowNanos).map(Member::id);
   }
 
   /**
@@ -95,9 +133,14 @@
    * Records that an attempt was sent to a member.
    *
    * @param member the member
+   * @param nowNanos current monotonic time, in nanoseconds
    */
-  public void attemptStarted(MemberId member) {
+  public void attemptStarted(MemberId member, long nowNanos) {
     statsByMember.computeIfAbsent(member, k -> new MemberStats()).attemptStarted();
+    Optional<Member> to = roster.flatMap(r -> r.find(member));
+    if (ownZone().isPresent() && !to.map(Member::zone).equals(ownZone())) {
+      to.flatMap(Member::target).ifPresent(t -> crossings.sentOutside(t.service(), nowNanos));
+    }
   }
 
   /**
@@ -165,16 +208,94 @@
     return document.filter(d -> d.isInService(m.zone())).isPresent();
   }
 
-  private Optional<Member> best(Candidates c, long nowNanos) {
+  private Optional<Member> best(Call call, Candidates c, long nowNanos) {
     Optional<Member> first = betterOfTwo(c.sameZone(), nowNanos);
-    if (first.filter(m -> utilization(m, nowNanos) <= BUSY_UTILIZATION).isPresent()) {
+    if (first.filter(m -> !isBusy(call, m, nowNanos)).isPresent()) {
       return first;
     }
-    Optional<Member> second = betterOfTwo(c.otherZones(), nowNanos);
+    Optional<Member> second = betterOfTwo(candidatesOutside(call, c), nowNanos);
     if (first.isEmpty() || second.isEmpty()) {
       return first.or(() -> second);
     }
-    return Optional.of(better(first.get(), second.get(), nowNanos));
+    boolean bestInOwnZone = c.sameZone().size() <= 2;
+    ZonePolicy.Choice choice = choice(call, first.get(), second.get(), bestInOwnZone, nowNanos);
+    return zonePolicy.leaves(choice) ? second : first;
+  }
+
+  private boolean isBusy(Call call, Member m, long nowNanos) {
+    return utilization(m, nowNanos) > BUSY_UTILIZATION
+        || (!stats(m).hasRecentLoad(nowNanos) && zonePolicy.isOwnZoneBusy(call.service()));
+  }
+
+  private List<Member> candidatesOutside(Call call, Candidates c) {
+    Optional<ZoneId> zone =
+        c.sameZone().isEmpty() ? Optional.empty() : zonePolicy.chooseZone(call.service());
+    List<Member> inZone =
+        zone.map(z -> c.otherZones().stream().filter(m -> m.zone().equals(z)).toList())
+            .orElse(List.of());
+    return inZone.isEmpty() ? c.otherZones() : inZone;
+  }
+
+  private ZonePolicy.Choice choice(
+      Call call, Member own, Member other, boolean bestInOwnZone, long nowNanos) {
+    double ownNanos = completionNanos(own, nowNanos);
+    double otherNanos = completionNanos(other, nowNanos);
+    boolean known = ownNanos > 0 && otherNanos > 0;
+    double knownNanos = Math.max(ownNanos, otherNanos);
+    return new ZonePolicy.Choice(
+        call.service(),
+        pick(own, known ? ownNanos : knownNanos, nowNanos),
+        pick(other, known ? otherNanos : knownNanos, nowNanos),
+        bestInOwnZone,
+        call.bodyBytes(),
+        call.retry());
+  }
+
+  private ZonePolicy.Pick pick(Member m, double completionNanos, long nowNanos) {
+    return new ZonePolicy.Pick(
+        utilization(m, nowNanos),
+        weightedNextUtilization(m, nowNanos),
+        completionNanos,
+        stats(m).hasRecentLoad(nowNanos));
+  }
+
+  /**
+   * Returns the expected time to completion of one more request at a member, in nanoseconds; 0 if
+   * its latency is unknown.
+   */
+  private double completionNanos(Member m, long nowNanos) {
+    return stats(m).latencyNanos() * Math.max(1, stats(m).nextUtilization(m, nowNanos));
+  }
+
+  private void updateZonePolicy(ServiceId service, Candidates c, long nowNanos) {
+    if (c.sameZone().isEmpty() || c.otherZones().isEmpty()) {
+      return;
+    }
+    Map<ZoneId, List<Member>> others =
+        c.otherZones().stream()
+            .collect(Collectors.groupingBy(Member::zone, TreeMap::new, Collectors.toList()));
+    zonePolicy.update(
+        service,
+        zoneLoad(c.sameZone(), nowNanos),
+        others.values().stream().map(l -> zoneLoad(l, nowNanos)).toList(),
+        nowNanos);
+  }
+
+  private ZonePolicy.ZoneLoad zoneLoad(List<Member> members, long nowNanos) {
+    List<Member> usable = members.stream().filter(m -> !stats(m).isEjected(nowNanos)).toList();
+    List<Member> reported = usable.stream().filter(m -> stats(m).hasRecentLoad(nowNanos)).toList();
+    return new ZonePolicy.ZoneLoad(
+        members.get(0).zone(),
+        usable.stream().mapToInt(m -> m.target().map(TargetState::limit).orElse(0)).sum(),
+        mean(reported, m -> utilization(m, nowNanos)),
+        mean(
+            reported.stream().filter(m -> stats(m).latencyNanos() > 0).toList(),
+            m -> completionNanos(m, nowNanos)),
+        !reported.isEmpty());
+  }
+
+  private static double mean(List<Member> l, ToDoubleFunction<Member> value) {
+    return l.stream().mapToDouble(value).average().orElse(0);
   }
 
   private Optional<Member> betterOfTwo(List<Member> l, long nowNanos) {
@@ -220,4 +341,19 @@
     long ejected = all.stream().filter(m -> stats(m).isEjected(nowNanos)).count();
     return (ejected + 1) * 2 <= all.size();
   }
+
+  /** Notified of attempts that are sent to other zones. */
+  @FunctionalInterface
+  public interface CrossingListener {
+    /**
+     * An attempt was sent to another zone.
+     *
+     * @param service service that is called
+     * @param nowNanos current monotonic time, in nanoseconds
+     */
+    void sentOutside(ServiceId service, long nowNanos);
+  }
+
+  /** A request for which a member is chosen. */
+  private record Call(ServiceId service, long bodyBytes, boolean retry) {}
 }
