--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/Daemon.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/Daemon.java
@@ -293,6 +293,7 @@
     targetTracker.checkTimeout(now);
     targetClient.expireOverdue(now);
     handle(new Event.Tick());
+    metrics.registerSentOutside(node.zones());
   }
 
   private void checkConnections() {
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/DaemonMetrics.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/DaemonMetrics.java
@@ -1,15 +1,20 @@
 package org.pomelohollow.daemon;
 
 import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import org.pomelohollow.decision.routing.ZoneSpill;
 import org.pomelohollow.message.PeerMessage;
+import org.pomelohollow.model.ServiceId;
 import org.pomelohollow.model.TargetLoad;
 import org.pomelohollow.model.Verdict;
 
@@ -25,6 +30,7 @@
   private final Counter pausedReading = registry.counter("pomelohollow.callers.paused");
   private final Map<String, Timer> requestTimers = new HashMap<>();
   private final Map<String, Counter> messageCounters = new HashMap<>();
+  private final Set<ServiceId> servicesOutside = new HashSet<>();
 
   PrometheusMeterRegistry registry() {
     return registry;
@@ -81,6 +87,21 @@
         .increment();
   }
 
+  /**
+   * Registers counters of the attempts sent to other zones, for the services that have none yet.
+   *
+   * @param zones counts the attempts by service
+   */
+  void registerSentOutside(ZoneSpill zones) {
+    for (ServiceId s : zones.servicesOutside()) {
+      if (servicesOutside.add(s)) {
+        FunctionCounter.builder("pomelohollow.zone.sent.outside", zones, z -> z.sentOutside(s))
+            .tag("service", s.value())
+            .register(registry);
+      }
+    }
+  }
+
   void recordPausedReading() {
     pausedReading.increment();
   }
