--- a/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/request/EarlyRefusalFilterTest.java
+++ b/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/request/EarlyRefusalFilterTest.java
@@ -15,6 +15,7 @@
 import org.pomelohollow.decision.admission.RoutePressures;
 import org.pomelohollow.decision.fairness.AccountShares;
 import org.pomelohollow.decision.routing.Router;
+import org.pomelohollow.decision.routing.ZoneSpill;
 import org.pomelohollow.document.PathPattern;
 import org.pomelohollow.document.RouteEntry;
 import org.pomelohollow.document.WeightedService;
@@ -80,7 +81,8 @@
     AccountShares shares = new AccountShares(new MemberId("h", 1), effects::add, rule);
     pressures.recordLoad("r", load, NOW);
     shares.recordLoad(SERVICE, load, NOW);
-    Router router = new Router(new SplittableRandom(1));
+    Router router =
+        new Router(new SplittableRandom(1), new ZoneSpill(new SplittableRandom(2), e -> {}));
     EarlyRefusalFilter f =
         new EarlyRefusalFilter(
             new EarlyRefusalFilter.Dependencies(router, pressures, shares, random, () -> NOW));
--- a/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/request/ShareCaller.java
+++ b/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/request/ShareCaller.java
@@ -90,7 +90,7 @@
       x.refuse(new Verdict.NotRun(ErrorCode.NO_TARGET));
       return;
     }
-    entry.router().attemptStarted(to.get());
+    entry.router().attemptStarted(to.get(), simulation.now());
     if (!simulation.isLinked(entry.id(), to.get())) {
       entry
           .router()
--- a/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/request/ShareDaemon.java
+++ b/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/request/ShareDaemon.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.Set;
+import java.util.SplittableRandom;
 import org.pomelohollow.decision.Event;
 import org.pomelohollow.decision.TargetAnnouncement;
 import org.pomelohollow.decision.admission.AdmissionController;
@@ -11,6 +12,7 @@
 import org.pomelohollow.decision.admission.WaitPolicy;
 import org.pomelohollow.decision.fairness.AccountShares;
 import org.pomelohollow.decision.routing.Router;
+import org.pomelohollow.decision.routing.ZoneSpill;
 import org.pomelohollow.model.Endpoint;
 import org.pomelohollow.model.Member;
 import org.pomelohollow.model.MemberId;
@@ -38,7 +40,9 @@
             ShareSimulation.ZONE,
             new AdmissionSettings(
                 FixedLimit::new, 0.95, WaitPolicy.OBJECTIVE_BASED, true, simulation.rule));
-    this.router = new Router(simulation.random.split());
+    // All daemons are in one zone, where the zone policy draws no number.
+    ZoneSpill spill = new ZoneSpill(new SplittableRandom(0), e -> {});
+    this.router = new Router(simulation.random.split(), spill);
     this.shares = new AccountShares(id, e -> simulation.emit(id, e), simulation.rule);
     this.filter =
         new EarlyRefusalFilter(
--- a/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/routing/ReportedSlowdownRoutingTest.java
+++ b/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/routing/ReportedSlowdownRoutingTest.java
@@ -46,7 +46,7 @@
   }
 
   private void restart() {
-    router = new Router(new SplittableRandom(1));
+    router = new Router(new SplittableRandom(1), new ZoneSpill(new SplittableRandom(2), e -> {}));
     Document d =
         new Document(
             "d",
@@ -96,7 +96,7 @@
   void afterASecondWithoutAReportTheRouterIsAsWithoutSlowdowns() {
     respond(0, SLOW_NANOS, 0, 2.5);
     respond(1, USUAL_NANOS * 115 / 100, 0, 1);
-    router.attemptStarted(members.get(1).id());
+    router.attemptStarted(members.get(1).id(), clock.getAsLong());
     assertEquals(1, chosen());
     clock.advance(Duration.ofMillis(999));
     assertEquals(0, chosen());
@@ -135,7 +135,7 @@
 
   private void respond(int member, long latencyNanos, int load, double slowdown) {
     MemberId id = members.get(member).id();
-    router.attemptStarted(id);
+    router.attemptStarted(id, clock.getAsLong());
     TargetLoad l = new TargetLoad(LIMIT, load, 0, Priority.NONE_SHED, 0, slowdown);
     router.attemptEnded(
         id,
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/Node.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/Node.java
@@ -34,6 +34,7 @@
 import org.pomelohollow.decision.request.RouteFilter;
 import org.pomelohollow.decision.request.StaleConfigurationFilter;
 import org.pomelohollow.decision.routing.Router;
+import org.pomelohollow.decision.routing.ZoneSpill;
 import org.pomelohollow.model.Endpoint;
 import org.pomelohollow.model.Member;
 import org.pomelohollow.model.TargetLoad;
@@ -54,6 +55,7 @@
   private final ClaimController claims;
   private final AccountShares shares;
   private final Guard guard;
+  private final ZoneSpill zones;
   private final List<Controller> controllers;
   private final FilterChain chain;
   private boolean dispatching;
@@ -85,7 +87,8 @@
     this.shares =
         new AccountShares(setup.self().id(), effects, setup.settings().admission().scarcityRule());
     RoutePressures pressures = new RoutePressures();
-    Router router = new Router(random);
+    this.zones = new ZoneSpill(random, effects);
+    Router router = new Router(random, zones);
     this.claims = new ClaimController(setup.self().id(), ClaimSettings.DEFAULT, effects);
     QuarantineController quarantine =
         new QuarantineController(setup.self().id(), setup.settings().quarantine(), random, effects);
@@ -121,6 +124,7 @@
             shares,
             quota,
             router,
+            zones,
             admission,
             claims,
             quarantine,
@@ -252,6 +256,11 @@
     return config;
   }
 
+  /** Returns the policy that decides which requests leave the availability zone. */
+  public ZoneSpill zones() {
+    return zones;
+  }
+
   /** Returns the membership controller. */
   public MembershipController membership() {
     return membership;
