Version upgrades under observation: decision, wiring and adapter

Until now all targets of a service were used alike.

Change: org.pomelohollow.decision.rollout judges the new version against the old one, sets its share and ends the order; Router, suspects and cut-offs ask a TrafficSplit for the members of an attempt. Daemons of targets count responses, failures and times since the order (TargetObserver). Peer messages have the types 70 to 73. The adapter decodes orders and versions, and writes the status by a conditional append. Settings expose_share, expose_slack and rollback.

--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/Daemon.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/Daemon.java
@@ -23,6 +23,7 @@
 import org.pomelohollow.daemon.protocol.Deployment;
 import org.pomelohollow.daemon.protocol.DocumentFeed;
 import org.pomelohollow.daemon.protocol.InboundHandler;
+import org.pomelohollow.daemon.protocol.RolloutStatusStore;
 import org.pomelohollow.daemon.settings.Settings;
 import org.pomelohollow.decision.Effect;
 import org.pomelohollow.decision.Event;
@@ -75,6 +76,7 @@
   private DisposableServer adminServer;
   private Optional<InboundServer> readinessServer = Optional.empty();
   private DocumentFeed documents = DocumentFeed.NONE;
+  private RolloutStatusStore rolloutStatuses = RolloutStatusStore.NONE;
   private Node node;
   private boolean shuttingDown;
 
@@ -243,8 +245,10 @@
         links::count,
         node.config()::version,
         () -> node.config().configAgeMillis(System.nanoTime()));
+    metrics.registerRollouts(node.rollouts());
     handle(new Event.RosterChanged(node.membership().roster()));
     logPump.start();
+    rolloutStatuses = deployment.rolloutStatuses(loop, this::handle);
     documents = deployment.followDocuments(loop, this::handle);
     LoopDelay delay = new LoopDelay(TICK_INTERVAL, System.nanoTime(), metrics::recordLoopDelay);
     scheduleEvery(TICK_INTERVAL, () -> tick(delay));
@@ -317,6 +321,10 @@
       logPump.seek(r.stream(), r.offset());
     } else if (e instanceof Effect.ConfirmDocument) {
       documents.confirm();
+    } else if (e instanceof Effect.ReadRolloutStatus) {
+      rolloutStatuses.read();
+    } else if (e instanceof Effect.WriteRolloutStatus w) {
+      rolloutStatuses.write(w.status());
     } else if (e instanceof Effect.LogLine n) {
       writeLogLine(n);
     }
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/DaemonMetrics.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/DaemonMetrics.java
@@ -1,6 +1,7 @@
 package org.pomelohollow.daemon;
 
 import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
@@ -9,6 +10,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import org.pomelohollow.decision.rollout.RolloutController;
 import org.pomelohollow.message.PeerMessage;
 import org.pomelohollow.model.TargetLoad;
 import org.pomelohollow.model.Verdict;
@@ -51,6 +53,21 @@
     registerGauge("pomelohollow.config.age.milliseconds", configAge);
   }
 
+  /**
+   * Registers the metrics of version upgrades.
+   *
+   * @param r controller that counts them
+   */
+  void registerRollouts(RolloutController r) {
+    registerGauge("pomelohollow.rollouts.running", r::runningCount);
+    FunctionCounter.builder("pomelohollow.rollouts.ended", r, RolloutController::completedCount)
+        .tag("state", "completed")
+        .register(registry);
+    FunctionCounter.builder("pomelohollow.rollouts.ended", r, RolloutController::rolledBackCount)
+        .tag("state", "rolled_back")
+        .register(registry);
+  }
+
   void recordRequest(Verdict v, long durationNanos) {
     requestTimers
         .computeIfAbsent(
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetAttempt.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetAttempt.java
@@ -126,6 +126,7 @@
       return;
     }
     Flux<ByteBuf> content = response.body();
+    recordFailure(status, response.headers());
     if (recordsResponse()) {
       ResponseRecorder r = new ResponseRecorder(status, response.headers());
       recorder = Optional.of(r);
@@ -151,6 +152,7 @@
       body.release();
       return;
     }
+    recordFailure(status, headers);
     if (recordsResponse()) {
       ResponseRecorder r = new ResponseRecorder(status, headers);
       r.add(body);
@@ -180,6 +182,12 @@
     fail(c, reached ? new Verdict.MayHaveRun(code) : new Verdict.NotRun(code));
   }
 
+  private void recordFailure(int status, List<HeaderField> headers) {
+    if (client.protocol().isFailure(status, headers)) {
+      guardedRequest.ifPresent(GuardedRequest::recordTargetFailure);
+    }
+  }
+
   private void fail(Completion c, Verdict v) {
     if (ended) {
       return;
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetClient.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetClient.java
@@ -67,6 +67,11 @@
     this.onUnreachable = onUnreachable;
   }
 
+  /** Returns the protocol of the target. */
+  TargetProtocol protocol() {
+    return protocol;
+  }
+
   /**
    * Sets the target. Running exchanges are not affected; idle connections are closed if the target
    * is another incarnation or has another address.
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/protocol/Deployment.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/protocol/Deployment.java
@@ -59,4 +59,15 @@
    * @return the feed, which stops following when disposed
    */
   DocumentFeed followDocuments(Scheduler loop, Consumer<Event> events);
+
+  /**
+   * Returns the store of the states of roll-outs.
+   *
+   * @param loop event loop on which events are passed on
+   * @param events receives an {@link Event.RolloutStatusRead} after each successful call
+   * @return the store
+   */
+  default RolloutStatusStore rolloutStatuses(Scheduler loop, Consumer<Event> events) {
+    return RolloutStatusStore.NONE;
+  }
 }
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/protocol/TargetProtocol.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/protocol/TargetProtocol.java
@@ -10,6 +10,9 @@
 
 /** Protocol between a daemon and its target: header fields and the meaning of responses. */
 public interface TargetProtocol {
+  /** Least status of responses that name an error of the server. */
+  int FIRST_SERVER_ERROR = 500;
+
   /**
    * Adds the header fields for the target to those that the caller's protocol selected.
    *
@@ -58,6 +61,17 @@
     return false;
   }
 
+  /**
+   * Returns whether a valid response says that the target failed to serve the request.
+   *
+   * @param status status of the response
+   * @param headers its fields for the caller
+   * @return whether it is a failure of the target
+   */
+  default boolean isFailure(int status, List<HeaderField> headers) {
+    return status >= FIRST_SERVER_ERROR;
+  }
+
   /** Kind of a response. */
   sealed interface ResponseKind {
     /** The response belongs to the request. */
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/settings/PlatformSettings.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/settings/PlatformSettings.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
+import org.pomelohollow.decision.rollout.RolloutSettings;
 import org.pomelohollow.model.Endpoint;
 import org.pomelohollow.model.ServiceId;
 import org.pomelohollow.model.ZoneId;
@@ -16,6 +17,7 @@
  * @param maxRecordBytes maximum size of a record in the platform's log, in bytes
  * @param retryRatio extra attempts to a service that the platform allows per request, 0 to 1
  * @param grace time from the signal to stop until the platform ends the process
+ * @param rollouts bounds on what a bad version of a service may get
  */
 public record PlatformSettings(
     Endpoint readiness,
@@ -23,12 +25,14 @@
     List<ZoneId> zones,
     int maxRecordBytes,
     double retryRatio,
-    Duration grace) {
+    Duration grace,
+    RolloutSettings rollouts) {
   /** Checks for nulls and copies the list. */
   public PlatformSettings {
     Objects.requireNonNull(readiness, "readiness");
     Objects.requireNonNull(service, "service");
     Objects.requireNonNull(grace, "grace");
+    Objects.requireNonNull(rollouts, "rollouts");
     zones = List.copyOf(zones);
   }
 }
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/settings/SettingsReader.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/settings/SettingsReader.java
@@ -10,6 +10,7 @@
 import java.util.function.UnaryOperator;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import org.pomelohollow.decision.rollout.RolloutSettings;
 import org.pomelohollow.document.ParseResult;
 import org.pomelohollow.document.Problem;
 import org.pomelohollow.document.TomlReader;
@@ -25,6 +26,7 @@
   private static final List<String> LOG_LEVELS = List.of("trace", "debug", "info", "warn", "error");
   private static final long MAX_DURATION_MILLIS = Duration.ofHours(1).toMillis();
   private static final double MILLIS_PER_SECOND = 1e3;
+  private static final double MAX_EXPOSE_SLACK = 1e6;
   private static final Pattern DURATION = Pattern.compile("(\\d{1,9}(?:\\.\\d{1,9})?)(ms|s)");
 
   private final UnaryOperator<String> environment;
@@ -180,13 +182,34 @@
     double retryRatio = s.number("retry_ratio", 0.1, 0, 1);
     Duration grace =
         s.requiredValue("grace", SettingsReader::parseDuration).orElse(Duration.ofSeconds(5));
+    RolloutSettings rollouts = readRollouts(s);
     s.rejectUnknownKeys();
     if (readiness.isEmpty() || service.isEmpty()) {
       return Optional.empty();
     }
     return Optional.of(
         new PlatformSettings(
-            readiness.get(), service.get(), zones, (int) maxRecordBytes, retryRatio, grace));
+            readiness.get(),
+            service.get(),
+            zones,
+            (int) maxRecordBytes,
+            retryRatio,
+            grace,
+            rollouts));
+  }
+
+  /** Reads the bounds of version upgrades, which the platform sets only where there are some. */
+  private static RolloutSettings readRollouts(TomlSection s) {
+    RolloutSettings d = RolloutSettings.DEFAULT;
+    double share = s.number("expose_share", d.exposeShare(), 0, 1);
+    double slack = s.number("expose_slack", d.exposeSlack(), 0, MAX_EXPOSE_SLACK);
+    long rollbackNanos =
+        s.has("rollback")
+            ? s.requiredValue("rollback", SettingsReader::parseDuration)
+                .map(Duration::toNanos)
+                .orElse(d.rollbackNanos())
+            : d.rollbackNanos();
+    return new RolloutSettings(share, slack, rollbackNanos);
   }
 
   /** Parses a number with unit {@code ms} or {@code s}. */
--- a/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/settings/SettingsReaderTest.java
+++ b/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/settings/SettingsReaderTest.java
@@ -5,6 +5,7 @@
 
 import java.time.Duration;
 import org.junit.jupiter.api.Test;
+import org.pomelohollow.decision.rollout.RolloutSettings;
 import org.pomelohollow.document.ParseResult;
 import org.pomelohollow.document.Problem;
 
@@ -36,6 +37,17 @@
     assertEquals(Duration.ofMillis(2_500), read("2.5s").value().orElseThrow().grace());
   }
 
+  /** Guards against settings without roll-outs, as existing deployments have them. */
+  @Test
+  void boundsOfVersionUpgradesHaveDefaults() {
+    assertEquals(RolloutSettings.DEFAULT, read("5s").value().orElseThrow().rollouts());
+    String bounds = "5s\"\nexpose_share = 0.2\nexpose_slack = 30\nrollback = \"4s";
+    assertEquals(
+        new RolloutSettings(0.2, 30, Duration.ofSeconds(4).toNanos()),
+        read(bounds).value().orElseThrow().rollouts());
+    assertTrue(read("5s\"\nexpose_share = 1.5\nrollback = \"4s").value().isEmpty());
+  }
+
   @Test
   void invalidDurationsAreProblemsOfTheirKey() {
     for (String bad : new String[] {"", "5x", "5", "s", "ms", "-1s", "NaNs", "1e99s", "9999999s"}) {
--- /dev/null
+++ b/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/rollout/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of version upgrades under observation. */
+package org.pomelohollow.decision.rollout;
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/Effect.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/Effect.java
@@ -1,5 +1,6 @@
 package org.pomelohollow.decision;
 
+import org.pomelohollow.decision.rollout.RolloutStatus;
 import org.pomelohollow.message.LogEntry;
 import org.pomelohollow.message.LogStream;
 import org.pomelohollow.message.PeerMessage;
@@ -48,6 +49,21 @@
    */
   record ConfirmDocument() implements Effect {}
 
+  /**
+   * Reads the states of roll-outs from the store. {@link Event.RolloutStatusRead} reports them,
+   * nothing a failure.
+   */
+  record ReadRolloutStatus() implements Effect {}
+
+  /**
+   * Writes the state of a roll-out to the store unless it has one of the same order that is final,
+   * or any one if this one is not final. {@link Event.RolloutStatusRead} reports what the store has
+   * then, nothing a failure, after which it is unknown whether the state was written.
+   *
+   * @param status the state
+   */
+  record WriteRolloutStatus(RolloutStatus status) implements Effect {}
+
   /**
    * Dispatches an event to all controllers of this daemon.
    *
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/Event.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/Event.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.pomelohollow.decision.config.VersionedDocument;
+import org.pomelohollow.decision.rollout.RolloutStatus;
 import org.pomelohollow.message.LogStream;
 import org.pomelohollow.message.PeerMessage;
 import org.pomelohollow.message.StoredEntry;
@@ -138,6 +139,18 @@
    */
   record ProcessResumed(long pauseNanos) implements Event {}
 
+  /**
+   * The states of roll-outs were read from the store, or one was written to it.
+   *
+   * @param all the newest state of each service
+   */
+  record RolloutStatusRead(List<RolloutStatus> all) implements Event {
+    /** Copies the list. */
+    public RolloutStatusRead {
+      all = List.copyOf(all);
+    }
+  }
+
   /** A graceful shutdown of the daemon was requested. */
   record ShutdownRequested() implements Event {}
 
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/Node.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/Node.java
@@ -32,6 +32,7 @@
 import org.pomelohollow.decision.request.QuotaFilter;
 import org.pomelohollow.decision.request.RouteFilter;
 import org.pomelohollow.decision.request.StaleConfigurationFilter;
+import org.pomelohollow.decision.rollout.RolloutController;
 import org.pomelohollow.decision.routing.Router;
 import org.pomelohollow.model.Endpoint;
 import org.pomelohollow.model.Member;
@@ -51,6 +52,7 @@
   private final MembershipController membership;
   private final AdmissionController admission;
   private final ClaimController claims;
+  private final RolloutController rollouts;
   private final Guard guard;
   private final List<Controller> controllers;
   private final FilterChain chain;
@@ -85,9 +87,8 @@
     this.claims = new ClaimController(setup.self().id(), ClaimSettings.DEFAULT, effects);
     QuarantineController quarantine =
         new QuarantineController(setup.self().id(), setup.settings().quarantine(), random, effects);
-    this.guard =
-        new Guard(
-            new Guard.Dependencies(admission, claims, quarantine, new RunningRequests(), clock));
+    this.rollouts = createRollouts(setup, random, router, quarantine);
+    this.guard = createGuard(quarantine);
     Timers timers = new Timers();
     RetrySettings retries = setup.settings().retries();
     AttemptFilter attempts =
@@ -113,6 +114,7 @@
             apiKeys,
             earlyRefusal,
             quota,
+            rollouts,
             router,
             admission,
             claims,
@@ -126,6 +128,32 @@
             filters(setup.settings(), apiKeys, timers, quarantine, earlyRefusal, quota, attempts));
   }
 
+  private Guard createGuard(QuarantineController quarantine) {
+    return new Guard(
+        new Guard.Dependencies(
+            admission,
+            claims,
+            quarantine,
+            new RunningRequests(),
+            clock,
+            rollouts.targetObserver()));
+  }
+
+  private RolloutController createRollouts(
+      Setup setup, RandomGenerator random, Router router, QuarantineController quarantine) {
+    RolloutController c =
+        new RolloutController(
+            setup.self().id(),
+            setup.settings().rollouts(),
+            random,
+            admission::targetState,
+            admission::load,
+            effects);
+    router.setTrafficSplit(c);
+    quarantine.setTrafficSplit(c);
+    return c;
+  }
+
   private List<Filter> filters(
       NodeSettings settings,
       ApiKeyFilter apiKeys,
@@ -234,6 +262,11 @@
     return claims;
   }
 
+  /** Returns the controller of version upgrades. */
+  public RolloutController rollouts() {
+    return rollouts;
+  }
+
   /** Returns the configuration controller. */
   public ConfigController config() {
     return config;
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/NodeSettings.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/NodeSettings.java
@@ -8,6 +8,7 @@
 import org.pomelohollow.decision.quota.AccountRateLimiter;
 import org.pomelohollow.decision.quota.QuotaController;
 import org.pomelohollow.decision.quota.QuotaSettings;
+import org.pomelohollow.decision.rollout.RolloutSettings;
 import org.pomelohollow.model.MemberId;
 
 /**
@@ -21,6 +22,7 @@
  * @param claimsEnabled whether callers may mark resends of a request with an idempotency key
  * @param failsClosed whether requests that need an API key are refused while the configuration may
  *     be out of date
+ * @param rollouts bounds on what a bad version of a service may get
  */
 public record NodeSettings(
     DocumentFormat documentFormat,
@@ -29,7 +31,8 @@
     QuarantineSettings quarantine,
     RateLimiterFactory rateLimiterFactory,
     boolean claimsEnabled,
-    boolean failsClosed) {
+    boolean failsClosed,
+    RolloutSettings rollouts) {
   /** Settings for the product's own log and documents, with idempotency keys. */
   public static final NodeSettings DEFAULT =
       new NodeSettings(
@@ -39,7 +42,8 @@
           QuarantineSettings.DEFAULT,
           (self, effects) -> new QuotaController(self, QuotaSettings.standard(), effects),
           true,
-          true);
+          true,
+          RolloutSettings.DEFAULT);
 
   /** Checks the fields. */
   public NodeSettings {
@@ -48,6 +52,7 @@
     Objects.requireNonNull(retries, "retries");
     Objects.requireNonNull(quarantine, "quarantine");
     Objects.requireNonNull(rateLimiterFactory, "rateLimiterFactory");
+    Objects.requireNonNull(rollouts, "rollouts");
   }
 
   /** Creates the controller that limits the request rates of client accounts. */
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/TargetLimit.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/TargetLimit.java
@@ -146,7 +146,8 @@
                 t.slots(),
                 roundDown(advertisedLimit(nowNanos)),
                 isCold(nowNanos),
-                draining));
+                draining,
+                t.version()));
   }
 
   void configure(Document d, long nowNanos) {
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/Ticket.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/Ticket.java
@@ -94,9 +94,12 @@
 
   /**
    * Returns the self time of the request: its time at the target without the time during which its
-   * outbound calls were open, in nanoseconds.
+   * outbound calls were open.
+   *
+   * @param nowNanos current monotonic time, in nanoseconds
+   * @return time in nanoseconds
    */
-  long selfTimeNanos(long nowNanos) {
+  public long selfTimeNanos(long nowNanos) {
     long openNanos = openOutboundCalls > 0 ? nowNanos - outboundStartNanos : 0;
     return nowNanos - startedNanos - endedOutboundNanos - openNanos;
   }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/guard/Guard.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/guard/Guard.java
@@ -69,11 +69,31 @@
    * @param quarantine identifies requests that crash targets
    * @param runningRequests registry of requests that run at the target
    * @param clock monotonic time, in nanoseconds
+   * @param observer observes the requests that run at the target
    */
   public record Dependencies(
       AdmissionController admission,
       ClaimController claims,
       QuarantineController quarantine,
       RunningRequests runningRequests,
-      LongSupplier clock) {}
+      LongSupplier clock,
+      TargetObserver observer) {
+    /**
+     * Creates collaborators without an observer.
+     *
+     * @param admission admits requests to the target
+     * @param claims grants claims on non-idempotent requests
+     * @param quarantine identifies requests that crash targets
+     * @param runningRequests registry of requests that run at the target
+     * @param clock monotonic time, in nanoseconds
+     */
+    public Dependencies(
+        AdmissionController admission,
+        ClaimController claims,
+        QuarantineController quarantine,
+        RunningRequests runningRequests,
+        LongSupplier clock) {
+      this(admission, claims, quarantine, runningRequests, clock, TargetObserver.NONE);
+    }
+  }
 }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/guard/GuardedRequest.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/guard/GuardedRequest.java
@@ -16,7 +16,7 @@
 import org.pomelohollow.model.Verdict;
 
 /** State of a request at the daemon of its target, from arrival to end. */
-public final class GuardedRequest {
+public final class GuardedRequest implements TargetObserver.RunningRequest {
   private final Guard.Dependencies deps;
   private final SuspectQueue<GuardedRequest> suspects;
   private final RequestContext context;
@@ -28,6 +28,7 @@
   private Optional<Ticket> ticket = Optional.empty();
   private Optional<Completion> completionBeforeTicket = Optional.empty();
   private Optional<ClaimId> claimId = Optional.empty();
+  private boolean targetFailure;
 
   GuardedRequest(
       Guard.Dependencies deps,
@@ -53,6 +54,21 @@
     return claimKey.isPresent();
   }
 
+  @Override
+  public String route() {
+    return context.route();
+  }
+
+  @Override
+  public long selfTimeNanos(long nowNanos) {
+    return ticket.isPresent() ? ticket.get().selfTimeNanos(nowNanos) : 0;
+  }
+
+  /** Records that the response of the target is a failure. Called before {@link #complete}. */
+  public void recordTargetFailure() {
+    targetFailure = true;
+  }
+
   /**
    * Records the end of a request that was sent to the target. Later calls have no effect.
    *
@@ -78,6 +94,7 @@
   public void completeUnsent(Completion completion, long nowNanos) {
     if (state == State.RUNNING) {
       deps.quarantine().requestEnded(context.fingerprint(), onProbation, false);
+      deps.observer().ended(this, Completion.FAILED, false, nowNanos);
       end(completion, ClaimState.RELEASED, Optional.empty(), nowNanos);
     }
   }
@@ -178,6 +195,7 @@
       Completion c, ClaimState claimState, Optional<RecordedResponse> response, long nowNanos) {
     state = State.ENDED;
     deps.runningRequests().unregister(context);
+    deps.observer().ended(this, c, targetFailure, nowNanos);
     claimId.ifPresent(id -> deps.claims().reportOutcome(id, claimState, response, nowNanos));
     releaseSlot(c, nowNanos);
     releaseNextSuspect(nowNanos);
@@ -224,6 +242,7 @@
   private void run() {
     state = State.RUNNING;
     deps.runningRequests().register(context);
+    deps.observer().started(this);
     deps.quarantine().requestStarted(context.fingerprint(), onProbation);
     listener.run();
   }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/membership/MembershipController.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/membership/MembershipController.java
@@ -226,7 +226,8 @@
 
   /** Returns the state with limit 0, to compare states regardless of their limits. */
   private static Optional<TargetState> withoutLimit(Optional<TargetState> state) {
-    return state.map(t -> new TargetState(t.service(), t.slots(), 0, t.cold(), t.draining()));
+    return state.map(
+        t -> new TargetState(t.service(), t.slots(), 0, t.cold(), t.draining(), t.version()));
   }
 
   private void tick(long nowNanos) {
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/quarantine/QuarantineController.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/quarantine/QuarantineController.java
@@ -16,6 +16,7 @@
 import org.pomelohollow.decision.EffectSink;
 import org.pomelohollow.decision.Event;
 import org.pomelohollow.decision.StateDump;
+import org.pomelohollow.decision.routing.TrafficSplit;
 import org.pomelohollow.model.Member;
 import org.pomelohollow.model.MemberId;
 import org.pomelohollow.model.Roster;
@@ -64,6 +65,7 @@
   private final Set<Long> suspectsToSend = new LinkedHashSet<>();
   private final Set<Long> clearedToSend = new LinkedHashSet<>();
   private Optional<Roster> roster = Optional.empty();
+  private TrafficSplit trafficSplit = TrafficSplit.NONE;
   private Optional<String> instance = Optional.empty();
   private Optional<ServiceId> service = Optional.empty();
   private long currentIncarnation;
@@ -123,6 +125,15 @@
     return suspects.contains(fingerprint, nowNanos);
   }
 
+  /**
+   * Sets which members of a service may run suspects: a trial of some of them gets none.
+   *
+   * @param split division of the members
+   */
+  public void setTrafficSplit(TrafficSplit split) {
+    trafficSplit = split;
+  }
+
   /**
    * Returns the one member whose target may run a suspect: the first by rendezvous hashing among
    * those whose target hasn't crashed with it, or among all if every target has.
@@ -132,8 +143,8 @@
    * @return the member, empty if no member serves the service
    */
   public Optional<MemberId> probationMember(long fingerprint, ServiceId id) {
-    List<MemberId> serving =
-        roster.map(r -> r.servingMembers(id)).orElse(List.of()).stream().map(Member::id).toList();
+    List<Member> all = roster.map(r -> r.servingMembers(id)).orElse(List.of());
+    List<MemberId> serving = trafficSplit.settled(id, all).stream().map(Member::id).toList();
     Comparator<MemberId> order =
         Comparator.<MemberId, Boolean>comparing(m -> suspects.hasCrashed(fingerprint, m))
             .thenComparing(m -> StableHash.mix(fingerprint ^ StableHash.of(m.toString())));
--- /dev/null
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/rollout/RolloutSteps.java
@@ -0,0 +1,187 @@
+package org.pomelohollow.decision.rollout;
+
+import java.util.concurrent.TimeUnit;
+
+/** Steps of one order over time: when the next one may be taken, and when one must be undone. */
+final class RolloutSteps {
+  /** Part of the duration before which the switch does not begin. */
+  private static final double CANARY_PART = 0.58;
+
+  /** Shortest canary, if there is time: some versions turn bad only seconds after their start. */
+  private static final long MIN_CANARY_NANOS = TimeUnit.MILLISECONDS.toNanos(4_500);
+
+  /** Time before the limit from which the switch doesn't wait for a longer canary. */
+  private static final long SWITCH_DUE_NANOS = TimeUnit.MILLISECONDS.toNanos(4_200);
+
+  /** Time before the limit after which the switch can't be finished any more. */
+  private static final long TOO_LATE_NANOS = TimeUnit.MILLISECONDS.toNanos(3_400);
+
+  /** Time before the limit from which the first step lasts no longer than needed. */
+  private static final long HURRY_NANOS = TimeUnit.MILLISECONDS.toNanos(5_000);
+
+  static final long MIN_QUARTER_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
+  static final long MAX_QUARTER_NANOS = TimeUnit.MILLISECONDS.toNanos(1_800);
+
+  /** Longest time that the first step waits for responses on every route. */
+  private static final long LONGEST_QUARTER_NANOS = TimeUnit.MILLISECONDS.toNanos(2_400);
+
+  /** Time before the limit from which the first step does not wait for routes. */
+  private static final long LAST_HALF_NANOS = TimeUnit.MILLISECONDS.toNanos(2_600);
+
+  /** Responses on a route from which a version shows that is bad there only. */
+  private static final int MIN_ON_ROUTE = 16;
+
+  private static final long HALF_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
+
+  /** Time until a slow request of a step is known to the evaluator, besides its slowness. */
+  private static final long REPORT_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
+
+  private RolloutStep step = RolloutStep.CANARY;
+  private long stepSinceNanos;
+  private long responsesAtStep;
+
+  RolloutStep step() {
+    return step;
+  }
+
+  /** Returns the time since the present step began, in nanoseconds. */
+  long lastedNanos(long nowNanos) {
+    return nowNanos - stepSinceNanos;
+  }
+
+  /** Continues from a step that another evaluator has announced. */
+  void adopt(RolloutStep s, long nowNanos) {
+    if (s != step) {
+      step = s;
+      stepSinceNanos = nowNanos;
+    }
+  }
+
+  /** Returns the length of the canary for a duration, both in nanoseconds. */
+  static long canaryNanos(long durationNanos) {
+    return (long) (CANARY_PART * durationNanos);
+  }
+
+  /** Takes the next step if it is due, or an earlier one if there are not enough slots. */
+  void advance(Situation s, long nowNanos) {
+    if (step.isSwitch() && !hasSlots(s, step)) {
+      RolloutStep smaller = step;
+      while (smaller.isSwitch() && !hasSlots(s, smaller)) {
+        smaller = smaller.previous();
+      }
+      enter(smaller, s, nowNanos);
+    } else if (s.withoutOldTargets() && s.goodSoFar()) {
+      enter(RolloutStep.ALL, s, nowNanos);
+    } else if (s.mayAdvance() && isDue(s, nowNanos) && hasSlots(s, step.next())) {
+      enter(step.next(), s, nowNanos);
+    }
+  }
+
+  private void enter(RolloutStep s, Situation in, long nowNanos) {
+    if (s != step) {
+      step = s;
+      stepSinceNanos = nowNanos;
+      responsesAtStep = in.judgement().responses();
+    }
+  }
+
+  private boolean isDue(Situation s, long nowNanos) {
+    boolean good = !s.judgement().bad() && !s.judgement().suspicious();
+    return good
+        && switch (step) {
+          case CANARY -> isSwitchDue(s);
+          case QUARTER -> isQuarterDone(s, nowNanos);
+          case HALF -> lastedNanos(nowNanos) >= HALF_NANOS;
+          case ALL -> false;
+        };
+  }
+
+  /** Returns whether slow responses of this step have shown, and all routes have responses. */
+  private boolean isQuarterDone(Situation s, long nowNanos) {
+    long lasted = lastedNanos(nowNanos);
+    boolean hurry = s.elapsedNanos() > s.durationNanos() - LAST_HALF_NANOS;
+    boolean routesJudged =
+        s.judgement().leastOnRoute() >= MIN_ON_ROUTE || lasted >= LONGEST_QUARTER_NANOS || hurry;
+    return lasted >= quarterNanos(s)
+        && routesJudged
+        && s.judgement().responses() - responsesAtStep >= s.neededInStep();
+  }
+
+  private static boolean isSwitchDue(Situation s) {
+    if (!s.isJudgedGood()) {
+      return false;
+    }
+    if (s.fewOldTargets()) {
+      return true; // Callers are refused meanwhile.
+    }
+    long earliest = canaryNanos(s.durationNanos());
+    long afterCanary = s.canaryStartNanos() + MIN_CANARY_NANOS;
+    long due = s.durationNanos() - SWITCH_DUE_NANOS;
+    return s.elapsedNanos() >= Math.max(earliest, Math.min(afterCanary, due))
+        && s.elapsedNanos() <= s.durationNanos() - TOO_LATE_NANOS
+        && s.withinBudget();
+  }
+
+  /** Returns the length of the first step: slow responses in it must have shown by its end. */
+  static long quarterNanos(Situation s) {
+    long judged = REPORT_DELAY_NANOS + s.slowNanos();
+    boolean hurry = s.elapsedNanos() > s.durationNanos() - HURRY_NANOS;
+    return hurry
+        ? MIN_QUARTER_NANOS
+        : Math.max(MIN_QUARTER_NANOS, Math.min(MAX_QUARTER_NANOS, judged));
+  }
+
+  private static boolean hasSlots(Situation s, RolloutStep to) {
+    return s.newLimit() >= to.share() * s.demand();
+  }
+
+  /**
+   * What an evaluator knows at one moment.
+   *
+   * @param elapsedNanos time since the order, in nanoseconds
+   * @param durationNanos duration of the order, in nanoseconds
+   * @param canaryStartNanos time from the order to the first report of a new target, in nanoseconds
+   * @param judgement judgement of the new version
+   * @param needed responses that a judgement needs
+   * @param neededInStep responses that the first step of the switch needs
+   * @param newLimit limit of the requests in flight at the new targets
+   * @param demand slots that all requests of the service need
+   * @param slowNanos time after which a response is slow, in nanoseconds
+   * @param mayAdvance whether this evaluator sees enough of the members
+   * @param withinBudget whether the first step of the switch stays within the bound on exposure
+   * @param withoutOldTargets whether no old target is left
+   * @param fewOldTargets whether many old targets have been lost
+   */
+  record Situation(
+      long elapsedNanos,
+      long durationNanos,
+      long canaryStartNanos,
+      VersionComparison.Judgement judgement,
+      long needed,
+      long neededInStep,
+      int newLimit,
+      double demand,
+      long slowNanos,
+      boolean mayAdvance,
+      boolean withinBudget,
+      boolean withoutOldTargets,
+      boolean fewOldTargets) {
+    /** Fewest responses after which a version may serve if there is no other. */
+    private static final int MIN_RESPONSES = 12;
+
+    boolean isJudgedGood() {
+      return isGood(needed);
+    }
+
+    boolean goodSoFar() {
+      return isGood(Math.min(needed, MIN_RESPONSES));
+    }
+
+    private boolean isGood(long count) {
+      return !judgement.bad()
+          && !judgement.suspicious()
+          && judgement.responses() >= count
+          && judgement.timed() * 2 >= count;
+    }
+  }
+}
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/routing/Router.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/routing/Router.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
 import org.pomelohollow.decision.Controller;
 import org.pomelohollow.decision.Event;
 import org.pomelohollow.decision.StateDump;
@@ -33,12 +34,16 @@
   /** Utilization of a member of the own zone above which other zones are considered. */
   private static final double BUSY_UTILIZATION = 0.7;
 
+  /** Utilization above which a member of a group that spills gets no further requests. */
+  private static final double FULL_UTILIZATION = 0.9;
+
   private final RandomGenerator random;
   private final Map<MemberId, MemberStats> statsByMember = new HashMap<>();
   private final Map<ServiceId, Candidates> candidates = new HashMap<>();
   private final ZoneRampUp zoneRampUp = new ZoneRampUp();
   private Optional<Roster> roster = Optional.empty();
   private Optional<Document> document = Optional.empty();
+  private TrafficSplit trafficSplit = TrafficSplit.NONE;
 
   /**
    * Creates a router without members.
@@ -49,6 +54,15 @@
     this.random = random;
   }
 
+  /**
+   * Sets how the requests of services are divided between groups of their members.
+   *
+   * @param split the division
+   */
+  public void setTrafficSplit(TrafficSplit split) {
+    trafficSplit = split;
+  }
+
   /**
    * Chooses a member that was not tried before.
    *
@@ -58,10 +72,28 @@
    * @return a member, or empty if all members of the service were tried
    */
   public Optional<MemberId> choose(ServiceId service, Set<MemberId> tried, long nowNanos) {
-    Candidates all = candidates(service);
+    Optional<TrafficSplit.Groups> groups =
+        trafficSplit.split(service, servingMembers(service), !tried.isEmpty(), nowNanos);
+    return groups
+        .map(g -> best(g, tried, nowNanos))
+        .orElseGet(() -> best(candidates(service), tried, nowNanos))
+        .map(Member::id);
+  }
+
+  /** Chooses from the preferred group, or from the other one if it has nobody or no free slot. */
+  private Optional<Member> best(TrafficSplit.Groups g, Set<MemberId> tried, long nowNanos) {
+    Optional<Member> first = best(candidates(g.preferred()), tried, nowNanos);
+    boolean full = first.filter(m -> utilization(m, nowNanos) > FULL_UTILIZATION).isPresent();
+    if (first.isPresent() && !(g.spills() && full)) {
+      return first;
+    }
+    return best(candidates(g.otherwise()), tried, nowNanos).or(() -> first);
+  }
+
+  private Optional<Member> best(Candidates all, Set<MemberId> tried, long nowNanos) {
     Candidates untried = tried.isEmpty() ? all : all.filter(m -> !tried.contains(m.id()));
     Candidates healthy = untried.filter(m -> !stats(m).isEjected(nowNanos));
-    return best(healthy.isEmpty() ? untried : healthy, nowNanos).map(Member::id);
+    return best(healthy.isEmpty() ? untried : healthy, nowNanos);
   }
 
   /**
@@ -85,7 +117,7 @@
    * @return the priority; {@link Priority#NONE_SHED} if a member has sent no recent load report
    */
   public Priority cutOff(ServiceId service, long nowNanos) {
-    return candidates(service).stream()
+    return settledMembers(service)
         .map(m -> stats(m).cutOff(nowNanos))
         .max(Priority::compareTo)
         .orElse(Priority.NONE_SHED);
@@ -139,18 +171,26 @@
     return b.build();
   }
 
+  /** Returns the members that get the requests of a service other than for a trial. */
+  private Stream<Member> settledMembers(ServiceId service) {
+    List<Member> serving = servingMembers(service);
+    List<Member> settled = trafficSplit.settled(service, serving);
+    return settled == serving ? candidates(service).stream() : candidates(settled).stream();
+  }
+
+  private List<Member> servingMembers(ServiceId service) {
+    return roster.isPresent() ? roster.get().servingMembers(service) : List.of();
+  }
+
   private Candidates candidates(ServiceId service) {
-    return candidates.computeIfAbsent(
-        service,
-        s -> {
-          Optional<ZoneId> ownZone = ownZone();
-          List<Member> inService =
-              roster
-                  .map(r -> r.servingMembers(s).stream().filter(this::isInService).toList())
-                  .orElse(List.of());
-          return Candidates.of(
-              ownZone.map(z -> Subset.of(self(), z, inService)).orElse(inService), ownZone);
-        });
+    return candidates.computeIfAbsent(service, s -> candidates(servingMembers(s)));
+  }
+
+  private Candidates candidates(List<Member> serving) {
+    Optional<ZoneId> ownZone = ownZone();
+    List<Member> inService = serving.stream().filter(this::isInService).toList();
+    return Candidates.of(
+        ownZone.map(z -> Subset.of(self(), z, inService)).orElse(inService), ownZone);
   }
 
   private MemberId self() {
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/document/Document.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/document/Document.java
@@ -18,6 +18,7 @@
  * @param apiKeys API keys in the order of the document
  * @param services services by name
  * @param routes routes in order of precedence, highest first
+ * @param rollouts orders to move services to another version, by service
  */
 public record Document(
     String name,
@@ -26,7 +27,8 @@
     Map<AccountId, AccountEntry> accounts,
     List<ApiKeyEntry> apiKeys,
     Map<ServiceId, ServiceEntry> services,
-    List<RouteEntry> routes) {
+    List<RouteEntry> routes,
+    Map<ServiceId, RolloutOrder> rollouts) {
 
   /** Creates a document with immutable copies of the collections. */
   public Document {
@@ -37,6 +39,29 @@
     apiKeys = List.copyOf(apiKeys);
     services = Map.copyOf(services);
     routes = List.copyOf(routes);
+    rollouts = Map.copyOf(rollouts);
+  }
+
+  /**
+   * Creates a document without orders.
+   *
+   * @param name name of the deployment
+   * @param priorities names of the priorities, most important first
+   * @param zones availability zones by name
+   * @param accounts client accounts by name
+   * @param apiKeys API keys in the order of the document
+   * @param services services by name
+   * @param routes routes in order of precedence, highest first
+   */
+  public Document(
+      String name,
+      List<String> priorities,
+      Map<ZoneId, ZoneEntry> zones,
+      Map<AccountId, AccountEntry> accounts,
+      List<ApiKeyEntry> apiKeys,
+      Map<ServiceId, ServiceEntry> services,
+      List<RouteEntry> routes) {
+    this(name, priorities, zones, accounts, apiKeys, services, routes, Map.of());
   }
 
   /**
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/document/DocumentDiff.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/document/DocumentDiff.java
@@ -64,6 +64,7 @@
     d.apiKeys().forEach(k -> put(out, "key", k.digest(), key(k)));
     d.services().values().forEach(s -> put(out, "service", s.id().value(), service(s)));
     d.routes().forEach(r -> put(out, "route", r.name(), route(r, d.priorities())));
+    d.rollouts().values().forEach(r -> put(out, "rollout", r.service().value(), rollout(r)));
     return out;
   }
 
@@ -109,6 +110,13 @@
         .with("bulk", r.bulk());
   }
 
+  private static Entry rollout(RolloutOrder r) {
+    return new Entry("rollout " + r.service().value())
+        .with("version", r.version())
+        .with("duration_ms", r.durationMillis())
+        .with("order", r.id());
+  }
+
   /** An entry of a document in readable form: a title and its fields in order. */
   private static final class Entry {
     private final String title;
--- a/org.pomelohollow.wire/src/main/java/org/pomelohollow/wire/WireType.java
+++ b/org.pomelohollow.wire/src/main/java/org/pomelohollow/wire/WireType.java
@@ -28,6 +28,10 @@
 import org.pomelohollow.decision.quota.PiecesClaimed;
 import org.pomelohollow.decision.rates.TokenGrant;
 import org.pomelohollow.decision.rates.TokenRequest;
+import org.pomelohollow.decision.rollout.RolloutAnnouncement;
+import org.pomelohollow.decision.rollout.RolloutQuery;
+import org.pomelohollow.decision.rollout.RolloutReport;
+import org.pomelohollow.decision.rollout.RolloutVerdict;
 
 /**
  * Type numbers of messages and log entries on the wire. The number of a removed type is not reused.
@@ -58,6 +62,10 @@
   SUSPECTS_HEARD(50, SuspectsHeard.class),
   TOKEN_REQUEST(60, TokenRequest.class),
   TOKEN_GRANT(61, TokenGrant.class),
+  ROLLOUT_REPORT(70, RolloutReport.class),
+  ROLLOUT_ANNOUNCEMENT(71, RolloutAnnouncement.class),
+  ROLLOUT_VERDICT(72, RolloutVerdict.class),
+  ROLLOUT_QUERY(73, RolloutQuery.class),
 
   MEMBER_JOINED(100, MemberJoined.class),
   MEMBER_LEFT(130, MemberLeft.class),
--- a/org.pomelohollow.wire/src/test/java/org/pomelohollow/wire/WireCodecTest.java
+++ b/org.pomelohollow.wire/src/test/java/org/pomelohollow/wire/WireCodecTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.ByteArrayOutputStream;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
@@ -22,6 +23,13 @@
 import org.pomelohollow.decision.quota.PieceClaim;
 import org.pomelohollow.decision.quota.PiecesClaimed;
 import org.pomelohollow.decision.quota.QuotaPiece;
+import org.pomelohollow.decision.rollout.RolloutAnnouncement;
+import org.pomelohollow.decision.rollout.RolloutQuery;
+import org.pomelohollow.decision.rollout.RolloutReport;
+import org.pomelohollow.decision.rollout.RolloutState;
+import org.pomelohollow.decision.rollout.RolloutStep;
+import org.pomelohollow.decision.rollout.RolloutVerdict;
+import org.pomelohollow.decision.rollout.RouteTotals;
 import org.pomelohollow.errors.ErrorCode;
 import org.pomelohollow.errors.PomelohollowException;
 import org.pomelohollow.junit.RequestContexts;
@@ -89,6 +97,67 @@
     }
   }
 
+  @Example
+  void messagesOfVersionUpgradesSurviveEncoding() {
+    ServiceId s = new ServiceId("s");
+    RouteTotals t = new RouteTotals("r", 7, 2, List.of(0L, 3L), List.of());
+    for (PeerMessage m :
+        List.of(
+            new RolloutReport(s, "17/v2/12000", "v2", 3, 5, 32, List.of(t)),
+            new RolloutAnnouncement(
+                s, "17/v2/12000", RolloutStep.QUARTER, 0.25, 2, List.of("h1"), true, 7_000),
+            new RolloutVerdict(s, "17/v2/12000", RolloutState.ROLLED_BACK, true, 8_000),
+            new RolloutQuery(s, "17/v2/12000"))) {
+      assertEquals(m, codec.decodeMessage(codec.encode(m)));
+    }
+  }
+
+  /** Guards against members that are lost while daemons of an earlier release are in service. */
+  @Example
+  void theStateOfATargetWithoutAVersionIsDecoded() {
+    TargetState t = new TargetState(new ServiceId("s"), 4, 3, true, false, Optional.of("v1"));
+    Member m =
+        new Member(
+            new MemberId("h1", 7),
+            new Endpoint("127.0.0.1", 9),
+            new ZoneId("a"),
+            Optional.of(t),
+            false);
+    byte[] b = codec.encode(new Heartbeat(m, 2, 12, 3, -5, 40, true, 9));
+    byte[] earlier = withoutVersion(b);
+    Member decoded = ((Heartbeat) codec.decodeMessage(earlier)).member();
+    TargetState expected = new TargetState(new ServiceId("s"), 4, 3, true, false);
+    assertEquals(Optional.of(expected), decoded.target());
+    assertEquals(m.id(), decoded.id());
+  }
+
+  /** Removes the sixth element of the array of the target's state, "v1", from an encoding. */
+  private static byte[] withoutVersion(byte[] b) {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    byte[] version = {(byte) 0xa2, 'v', '1'};
+    int at = indexOf(b, version);
+    int array = at - 1;
+    while (b[array] != (byte) 0x96) {
+      array--;
+    }
+    for (int i = 0; i < b.length; i++) {
+      if (i == array) {
+        out.write(0x95);
+      } else if (i < at || i >= at + version.length) {
+        out.write(b[i]);
+      }
+    }
+    return out.toByteArray();
+  }
+
+  private static int indexOf(byte[] b, byte[] part) {
+    int i = 0;
+    while (!Arrays.equals(Arrays.copyOfRange(b, i, i + part.length), part)) {
+      i++;
+    }
+    return i;
+  }
+
   @Example
   void aLogEntryIsNotAPeerMessage() {
     byte[] b = codec.encode(new ConfigProposal("c", 0, "t"));
