--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/rollout/ExposureBudget.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/rollout/ExposureBudget.java
@@ -12,7 +12,7 @@
   private static final double CANARY_PART = 0.4;
 
   /** Part of the free requests that the canary uses; services with few requests need them. */
-  private static final double FREE_PART = 0.6;
+  private static final double FREE_PART = 0.5;
 
   /** Part of the bound that is used: the totals of the evaluators are some 100 ms old. */
   private static final double USABLE_PART = 0.9;
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/rollout/RolloutSteps.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/rollout/RolloutSteps.java
@@ -23,7 +23,7 @@
   static final long MAX_QUARTER_NANOS = TimeUnit.MILLISECONDS.toNanos(1_800);
 
   /** Longest time that the first step waits for responses on every route. */
-  private static final long LONGEST_QUARTER_NANOS = TimeUnit.MILLISECONDS.toNanos(2_400);
+  private static final long LONGEST_QUARTER_NANOS = TimeUnit.MILLISECONDS.toNanos(1_900);
 
   /** Time before the limit from which the first step does not wait for routes. */
   private static final long LAST_HALF_NANOS = TimeUnit.MILLISECONDS.toNanos(2_600);
@@ -70,6 +70,8 @@
         smaller = smaller.previous();
       }
       enter(smaller, s, nowNanos);
+    } else if (isDoubtful(s)) {
+      enter(RolloutStep.QUARTER, s, nowNanos);
     } else if (s.withoutOldTargets() && s.goodSoFar()) {
       enter(RolloutStep.ALL, s, nowNanos);
     } else if (s.mayAdvance() && isDue(s, nowNanos) && hasSlots(s, step.next())) {
@@ -77,6 +79,15 @@
     }
   }
 
+  /**
+   * Returns whether a version got most requests and has too many bad responses meanwhile, though
+   * not enough for a roll-back: at services with few requests the proof may take a second.
+   */
+  private boolean isDoubtful(Situation s) {
+    boolean most = step == RolloutStep.HALF || step == RolloutStep.ALL;
+    return most && s.judgement().suspicious() && !s.withoutOldTargets();
+  }
+
   private void enter(RolloutStep s, Situation in, long nowNanos) {
     if (s != step) {
       step = s;
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/rollout/VersionComparison.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/rollout/VersionComparison.java
@@ -28,7 +28,12 @@
   private static final int MIN_BAD = 3;
   private static final int MIN_RECENT = 10;
   private static final double TOLERATED_FACTOR = 1.25;
-  private static final double TOLERATED_EXCESS = 0.02;
+
+  /** Tolerated excess of failures, of which a good version has hardly any. */
+  private static final double FAILURE_EXCESS = 0.01;
+
+  /** Tolerated excess of slow responses: hosts of one version differ in speed. */
+  private static final double SLOW_EXCESS = 0.02;
 
   /** Part of the old version's responses from which a route must be judged by itself. */
   private static final double NOTABLE_ROUTE = 0.05;
@@ -72,20 +77,30 @@
   }
 
   private void addChecks(Totals t, String span, List<Check> out) {
-    Sum failures = new Sum();
-    Sum slow = new Sum();
+    Sum failures = new Sum(FAILURE_EXCESS);
+    Sum slow = new Sum(SLOW_EXCESS);
     for (Map.Entry<String, Totals.Route> e : t.routes().entrySet()) {
       String route = e.getKey();
       Totals.Route r = e.getValue();
       Check f =
-          new Check(route + " failures " + span, r.responses(), r.failures(), oldFailures(route));
+          new Check(
+              route + " failures " + span,
+              r.responses(),
+              r.failures(),
+              oldFailures(route),
+              FAILURE_EXCESS);
       out.add(f);
       failures.add(f);
       slowBucket(route)
           .ifPresent(
               b -> {
                 Check s =
-                    new Check(route + " slow " + span, r.judged(b), r.slow(b), oldSlow(route, b));
+                    new Check(
+                        route + " slow " + span,
+                        r.judged(b),
+                        r.slow(b),
+                        oldSlow(route, b),
+                        SLOW_EXCESS);
                 out.add(s);
                 slow.add(s);
               });
@@ -166,7 +181,7 @@
       String reason) {}
 
   /** Comparison of bad responses with what the old version lets expect. */
-  private record Check(String name, long count, long bad, double oldShare) {
+  private record Check(String name, long count, long bad, double oldShare, double toleratedExcess) {
     boolean isBad() {
       return isImprobable(BAD_IMPROBABILITY);
     }
@@ -183,7 +198,7 @@
     }
 
     private double tolerated() {
-      return Math.min(0.9, TOLERATED_FACTOR * oldShare + TOLERATED_EXCESS);
+      return Math.min(0.9, TOLERATED_FACTOR * oldShare + toleratedExcess);
     }
 
     /**
@@ -206,10 +221,15 @@
 
   /** Sum of checks, with the old version's share weighted by the new one's routes. */
   private static final class Sum {
+    private final double toleratedExcess;
     private long count;
     private long bad;
     private double expected;
 
+    Sum(double toleratedExcess) {
+      this.toleratedExcess = toleratedExcess;
+    }
+
     void add(Check c) {
       count += c.count();
       bad += c.bad();
@@ -217,7 +237,7 @@
     }
 
     Check check(String name) {
-      return new Check(name, count, bad, count == 0 ? 0 : expected / count);
+      return new Check(name, count, bad, count == 0 ? 0 : expected / count, toleratedExcess);
     }
   }
 }
