--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/DaemonMetrics.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/DaemonMetrics.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import org.pomelohollow.decision.rollout.RolloutController;
 import org.pomelohollow.decision.routing.ZoneSpill;
 import org.pomelohollow.message.PeerMessage;
 import org.pomelohollow.model.ServiceId;
@@ -64,6 +65,21 @@
     registerGauge("pomelohollow.config.age.milliseconds", configAge);
   }
 
+  /**
+   * Registers the metrics of version upgrades.
+   *
+   * @param r controller that counts them
+   */
+  void registerRollouts(RolloutController r) {
+    registerGauge("pomelohollow.rollouts.running", r::runningCount);
+    FunctionCounter.builder("pomelohollow.rollouts.ended", r, RolloutController::completedCount)
+        .tag("state", "completed")
+        .register(registry);
+    FunctionCounter.builder("pomelohollow.rollouts.ended", r, RolloutController::rolledBackCount)
+        .tag("state", "rolled_back")
+        .register(registry);
+  }
+
   void recordRequest(Verdict v, long durationNanos) {
     requestTimers
         .computeIfAbsent(
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/routing/Router.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/routing/Router.java
@@ -9,6 +9,7 @@
 import java.util.function.ToDoubleFunction;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.pomelohollow.decision.Controller;
 import org.pomelohollow.decision.Event;
 import org.pomelohollow.decision.StateDump;
@@ -38,6 +39,9 @@
   /** Utilization of a member of the own zone above which other zones are considered. */
   private static final double BUSY_UTILIZATION = 0.7;
 
+  /** Utilization above which a member of a group that spills gets no further requests. */
+  private static final double FULL_UTILIZATION = 0.9;
+
   private final RandomGenerator random;
   private final Map<MemberId, MemberStats> statsByMember = new HashMap<>();
   private final Map<ServiceId, Candidates> candidates = new HashMap<>();
@@ -46,6 +50,7 @@
   private final CrossingListener crossings;
   private Optional<Roster> roster = Optional.empty();
   private Optional<Document> document = Optional.empty();
+  private TrafficSplit trafficSplit = TrafficSplit.NONE;
 
   /**
    * Creates a router without members.
@@ -70,6 +75,15 @@
     this(random, spill, spill::recordSentOutside);
   }
 
+  /**
+   * Sets how the requests of services are divided between groups of their members.
+   *
+   * @param split the division
+   */
+  public void setTrafficSplit(TrafficSplit split) {
+    trafficSplit = split;
+  }
+
   /**
    * Chooses a member that was not tried before.
    *
@@ -93,14 +107,33 @@
    */
   public Optional<MemberId> choose(
       ServiceId service, Set<MemberId> tried, long bodyBytes, long nowNanos) {
-    Candidates all = candidates(service);
+    Call call = new Call(service, bodyBytes, !tried.isEmpty());
+    Optional<TrafficSplit.Groups> groups =
+        trafficSplit.split(service, servingMembers(service), call.retry(), nowNanos);
+    return groups
+        .map(g -> best(call, g, tried, nowNanos))
+        .orElseGet(() -> best(call, candidates(service), tried, nowNanos))
+        .map(Member::id);
+  }
+
+  /** Chooses from the preferred group, or from the other one if it has nobody or no free slot. */
+  private Optional<Member> best(
+      Call call, TrafficSplit.Groups g, Set<MemberId> tried, long nowNanos) {
+    Optional<Member> first = best(call, candidates(g.preferred()), tried, nowNanos);
+    boolean full = first.filter(m -> utilization(m, nowNanos) > FULL_UTILIZATION).isPresent();
+    if (first.isPresent() && !(g.spills() && full)) {
+      return first;
+    }
+    return best(call, candidates(g.otherwise()), tried, nowNanos).or(() -> first);
+  }
+
+  private Optional<Member> best(Call call, Candidates all, Set<MemberId> tried, long nowNanos) {
     Candidates untried = tried.isEmpty() ? all : all.filter(m -> !tried.contains(m.id()));
     Candidates healthy = untried.filter(m -> !stats(m).isEjected(nowNanos));
-    Candidates c = healthy.isEmpty() ? untried : healthy;
-    if (zonePolicy.isDue(service, nowNanos)) {
-      updateZonePolicy(service, all, nowNanos);
+    if (zonePolicy.isDue(call.service(), nowNanos)) {
+      updateZonePolicy(call.service(), all, nowNanos);
     }
-    return best(new Call(service, bodyBytes, !tried.isEmpty()), c, nowNanos).map(Member::id);
+    return best(call, healthy.isEmpty() ? untried : healthy, nowNanos);
   }
 
   /**
@@ -124,7 +157,7 @@
    * @return the priority; {@link Priority#NONE_SHED} if a member has sent no recent load report
    */
   public Priority cutOff(ServiceId service, long nowNanos) {
-    return candidates(service).stream()
+    return settledMembers(service)
         .map(m -> stats(m).cutOff(nowNanos))
         .max(Priority::compareTo)
         .orElse(Priority.NONE_SHED);
@@ -183,18 +216,26 @@
     return b.build();
   }
 
+  /** Returns the members that get the requests of a service other than for a trial. */
+  private Stream<Member> settledMembers(ServiceId service) {
+    List<Member> serving = servingMembers(service);
+    List<Member> settled = trafficSplit.settled(service, serving);
+    return settled == serving ? candidates(service).stream() : candidates(settled).stream();
+  }
+
+  private List<Member> servingMembers(ServiceId service) {
+    return roster.isPresent() ? roster.get().servingMembers(service) : List.of();
+  }
+
   private Candidates candidates(ServiceId service) {
-    return candidates.computeIfAbsent(
-        service,
-        s -> {
-          Optional<ZoneId> ownZone = ownZone();
-          List<Member> inService =
-              roster
-                  .map(r -> r.servingMembers(s).stream().filter(this::isInService).toList())
-                  .orElse(List.of());
-          return Candidates.of(
-              ownZone.map(z -> Subset.of(self(), z, inService)).orElse(inService), ownZone);
-        });
+    return candidates.computeIfAbsent(service, s -> candidates(servingMembers(s)));
+  }
+
+  private Candidates candidates(List<Member> serving) {
+    Optional<ZoneId> ownZone = ownZone();
+    List<Member> inService = serving.stream().filter(this::isInService).toList();
+    return Candidates.of(
+        ownZone.map(z -> Subset.of(self(), z, inService)).orElse(inService), ownZone);
   }
 
   private MemberId self() {
