Fail an exchange when a part of its request cannot be written

A write that fails closes the channel without an exception event, and the decoder takes that for the end of a response without a length: the caller got 200 and a part of the body as a complete response.

Each write now has a promise whose failure fails the exchange; Netty fails it before it announces the closed channel.

--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetConnection.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetConnection.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.HttpContent;
@@ -132,7 +133,7 @@
     requestSent = newExchange.streamedBody().isEmpty();
     HttpRequest r = newExchange.createRequest(target, nowNanos);
     decoder.setMethod(r.method());
-    channel.writeAndFlush(r).addListener(f -> writeCompleted(f.cause()));
+    write(r);
     newExchange.streamedBody().ifPresent(this::sendBody);
   }
 
@@ -183,18 +184,28 @@
   private void sendBody(Flux<ByteBuf> body) {
     bodySubscription =
         body.subscribe(
-            b -> channel.writeAndFlush(new DefaultHttpContent(b)),
+            b -> write(new DefaultHttpContent(b)),
             t -> fail(RequestBody.failureCode(t), "request body was truncated"),
             () -> {
               requestSent = true;
-              channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+              write(LastHttpContent.EMPTY_LAST_CONTENT);
             });
   }
 
-  private void writeCompleted(Throwable cause) {
-    if (cause != null) {
-      fail(ErrorCode.CONNECTION_LOST, cause.toString());
-    }
+  /**
+   * Writes a part of the request. A failed write closes the channel without an exception event, and
+   * the decoder would take that for the end of a response without a length; the promise of the
+   * write fails before.
+   */
+  private void write(HttpObject part) {
+    ChannelPromise p = channel.newPromise();
+    p.addListener(
+        f -> {
+          if (!f.isSuccess()) {
+            fail(ErrorCode.CONNECTION_LOST, f.cause().toString());
+          }
+        });
+    channel.writeAndFlush(part, p);
   }
 
   /** Processes the head of a response; returns false if no body is to be read for it. */
--- a/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/internal/call/TargetConnectionTest.java
+++ b/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/internal/call/TargetConnectionTest.java
@@ -6,10 +6,15 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -139,6 +144,31 @@
     assertEquals("truncated", recorder.outcome);
   }
 
+  /**
+   * A transport whose write fails closes the channel without an exception event, which the decoder
+   * cannot tell from the end of a body without a length.
+   */
+  @Test
+  void aResponseWithoutALengthIsNotCompleteIfTheRequestBodyCannotBeWritten() {
+    Sinks.Many<ByteBuf> body = Sinks.many().unicast().onBackpressureBuffer();
+    send(Optional.of(10L), body.asFlux());
+    receive("HTTP/1.1 200 OK\r\nPomelo-Request-Id: r1\r\n\r\nbegin");
+    channel.pipeline().addFirst(new FailingTransport());
+    body.tryEmitNext(Unpooled.copiedBuffer("12345", StandardCharsets.ISO_8859_1)).orThrow();
+    channel.runPendingTasks();
+    assertFalse(channel.isActive());
+    assertEquals("failed, reached, CONNECTION_LOST", recorder.outcome);
+  }
+
+  @Test
+  void aResponseWithoutALengthEndsWithItsConnectionWhileTheRequestIsStillBeingSent() {
+    Sinks.Many<ByteBuf> body = Sinks.many().unicast().onBackpressureBuffer();
+    send(Optional.of(10L), body.asFlux());
+    receive("HTTP/1.1 200 OK\r\nPomelo-Request-Id: r1\r\n\r\nwhole");
+    channel.close();
+    assertEquals("200 whole", recorder.outcome);
+  }
+
   @Test
   void headsAndResponsesOfOthersWithoutEndCloseTheConnection() {
     String text = "x".repeat(1_000);
@@ -248,6 +278,23 @@
     channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
   }
 
+  /** Fails what is written at the flush, then closes the channel, as Netty's sockets do. */
+  private static final class FailingTransport extends ChannelOutboundHandlerAdapter {
+    private final List<ChannelPromise> unflushed = new ArrayList<>();
+
+    @Override
+    public void write(ChannelHandlerContext ctx, Object msg, ChannelPromise promise) {
+      ReferenceCountUtil.release(msg);
+      unflushed.add(promise);
+    }
+
+    @Override
+    public void flush(ChannelHandlerContext ctx) {
+      unflushed.forEach(p -> p.tryFailure(new IOException("Connection reset by peer")));
+      ctx.close();
+    }
+  }
+
   /** Records the outcome of an exchange; reads a streamed body only when told to. */
   private static final class Recorder implements TargetExchangeListener {
     private String outcome = "";
