Answer the request behind a response that began before a graceful stop

drain() assumed that some response head was still due and would carry Connection: close. Behind a streamed response whose head was out it read and discarded the caller's next request, and nothing closed the connection until the process ended.

Such a connection now accepts one more request; without one it closes half a second after the response. The stop waits for it within its time for running requests, and the entry point refuses as not run what comes after it has refused the rest.

RestartTest, PlannedStopTest, PathTest passed.

--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/Daemon.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/Daemon.java
@@ -367,7 +367,7 @@
 
     @Override
     public boolean isDrained() {
-      return entry.count() + runningRequests.count() == 0;
+      return entry.count() + runningRequests.count() == 0 && callerServer.isDrained();
     }
 
     @Override
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/GracefulShutdown.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/GracefulShutdown.java
@@ -123,7 +123,7 @@
     /** Responds to the requests that are still open, before their connections are closed. */
     void refuseRemaining();
 
-    /** Returns whether no request runs any more. */
+    /** Returns whether no request runs any more and all responses have been sent. */
     boolean isDrained();
 
     /** Returns whether the daemon's claims have been handed over to others. */
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/EntryPoint.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/EntryPoint.java
@@ -35,6 +35,7 @@
   private final RequestObserver observer;
   private final Map<String, OpenExchange> exchanges = new HashMap<>();
   private Optional<Node> node = Optional.empty();
+  private boolean closed;
   private Function<MemberId, AttemptHandler> handlerLookup = m -> (h, b, s) -> () -> {};
 
   /**
@@ -75,9 +76,11 @@
 
   /**
    * Responds to all open requests that this daemon will not finish. Those that have not run are
-   * refused as such, so that their callers can send them elsewhere.
+   * refused as such, so that their callers can send them elsewhere. Requests that arrive later are
+   * refused, too.
    */
   public void refuseAll() {
+    closed = true;
     List.copyOf(exchanges.values()).forEach(x -> x.exchange.refuse(ErrorCode.DRAINING));
   }
 
@@ -121,7 +124,9 @@
     try {
       CallerRequest r = protocol.read(in.head().headers());
       String id = r.requestId().filter(i -> !exchanges.containsKey(i)).orElseGet(ids::next);
-      if (in.body().lengthBytes() > maxBodyBytes) {
+      if (closed) {
+        reject(in, id, ErrorCode.DRAINING);
+      } else if (in.body().lengthBytes() > maxBodyBytes) {
         reject(in, id, ErrorCode.REQUEST_TOO_LARGE);
       } else {
         startExchange(in, r, id, parent);
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/InboundConnection.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/InboundConnection.java
@@ -1,12 +1,10 @@
 package org.pomelohollow.daemon.internal.http;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -25,9 +23,7 @@
 import org.pomelohollow.daemon.protocol.InboundHandler;
 import org.pomelohollow.daemon.protocol.RequestBody;
 import org.pomelohollow.errors.ErrorCode;
-import org.reactivestreams.Subscription;
 import org.tinylog.Logger;
-import reactor.core.publisher.BaseSubscriber;
 import reactor.core.publisher.Flux;
 
 /**
@@ -42,7 +38,10 @@
   /** Requests that run concurrently for one connection; further ones wait in the socket. */
   private static final int MAX_PIPELINED = 64;
 
-  /** Time for the caller to close its side after the last response, in milliseconds. */
+  /**
+   * Time for the caller to close its side after the last response, or to send the request that a
+   * response without {@code Connection: close} allows, in milliseconds.
+   */
   private static final long LINGER_MILLIS = 500;
 
   private final InboundHandler handler;
@@ -56,6 +55,7 @@
   private boolean continueDue;
   private boolean closing;
   private boolean draining;
+  private boolean awaitsNext;
   private long lastActivityNanos;
 
   InboundConnection(
@@ -118,14 +118,15 @@
   }
 
   /**
-   * Accepts no further request, and closes the connection after the last due response. A request
-   * that has not started, because its body is not complete, is dropped; one that has started may
-   * still send the rest of its body.
+   * Closes the connection after the last due response, which says so, and accepts no further
+   * request. If the head of the last response was sent before, one more request is accepted, since
+   * the caller may send it. A request that has not started, because its body is not complete, is
+   * dropped; one that has started may still send the rest of its body.
    */
   void drain() {
     draining = true;
     boolean isReceiving = reader != null;
-    if (isReceiving && reader.isStreamed()) {
+    if ((isReceiving && reader.isStreamed()) || isSendingLastHeadUnmarked()) {
       return;
     }
     reader = null;
@@ -138,6 +139,35 @@
     }
   }
 
+  /** Returns whether a draining server has to wait for this connection. */
+  boolean isBusy() {
+    return !pending.isEmpty() || awaitsNext;
+  }
+
+  /** Returns whether all due heads were sent, and the last one allows a further request. */
+  private boolean isSendingLastHeadUnmarked() {
+    return sending && pending.size() == 1 && !closing;
+  }
+
+  /** Closes the connection if a draining caller sends no request after an unmarked response. */
+  private void awaitNextRequest() {
+    if (!draining || closing || reader != null || !pending.isEmpty()) {
+      return;
+    }
+    awaitsNext = true;
+    ctx.executor()
+        .schedule(
+            () -> {
+              awaitsNext = false;
+              if (!closing && reader == null && pending.isEmpty()) {
+                closing = true;
+                closeAfterResponses(false);
+              }
+            },
+            LINGER_MILLIS,
+            TimeUnit.MILLISECONDS);
+  }
+
   /** Ends the request whose body is still being received after {@link #drain}. */
   void abortUpload() {
     if (draining && reader != null) {
@@ -230,7 +260,7 @@
     if (last) {
       reader = null;
       continueDue = false;
-      closing |= draining;
+      closing |= draining && (start || !isSendingLastHeadUnmarked());
     }
     if (start) {
       startRequest(r, body);
@@ -295,7 +325,11 @@
     }
     if (p.content().isPresent()) {
       sending = true;
-      p.content().get().subscribe(new ResponseBodySubscriber(p, r, last));
+      p.content()
+          .get()
+          .subscribe(
+              new ResponseBodyWriter(
+                  ctx, p, r, () -> streamedResponseWritten(p, last), this::close));
       return;
     }
     ctx.writeAndFlush(r);
@@ -315,6 +349,7 @@
       boolean callerCloses = !HttpUtil.isKeepAlive(p.head());
       ctx.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> closeAfterResponses(callerCloses));
     }
+    awaitNextRequest();
   }
 
   /**
@@ -345,43 +380,10 @@
     void readingPaused(InboundConnection c);
   }
 
-  /** Sends a streamed response body, one buffer at a time, as fast as the caller reads. */
-  private final class ResponseBodySubscriber extends BaseSubscriber<ByteBuf> {
-    private final PendingResponse response;
-    private final boolean last;
-
-    ResponseBodySubscriber(PendingResponse response, HttpResponse head, boolean last) {
-      this.response = response;
-      this.last = last;
-      if (!HttpUtil.isContentLengthSet(head)) {
-        HttpUtil.setTransferEncodingChunked(head, true);
-      }
-      ctx.writeAndFlush(head);
-      response.onDisconnect(this::cancel);
-    }
-
-    @Override
-    protected void hookOnSubscribe(Subscription s) {
-      request(1);
-    }
-
-    @Override
-    protected void hookOnNext(ByteBuf b) {
-      ctx.writeAndFlush(new DefaultHttpContent(b)).addListener(f -> request(1));
-    }
-
-    @Override
-    protected void hookOnComplete() {
-      sending = false;
-      ctx.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
-      responseSent(response, last);
-      sendReadyResponses();
-    }
-
-    @Override
-    protected void hookOnError(Throwable t) {
-      Logger.info("callers: response body failed, closing the connection: {}", t.toString());
-      close();
-    }
+  /** Ends a streamed response whose body was written entirely. */
+  private void streamedResponseWritten(PendingResponse p, boolean last) {
+    sending = false;
+    responseSent(p, last);
+    sendReadyResponses();
   }
 }
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/InboundServer.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/InboundServer.java
@@ -113,6 +113,11 @@
     List.copyOf(open).forEach(InboundConnection::drain);
   }
 
+  /** Returns whether no connection has a due response or may carry a request that must be read. */
+  public boolean isDrained() {
+    return open.stream().noneMatch(InboundConnection::isBusy);
+  }
+
   /** Ends the requests whose bodies are still being received after {@link #drain}. */
   public void abortUploads() {
     List.copyOf(open).forEach(InboundConnection::abortUpload);
--- a/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/internal/http/CallerServerTest.java
+++ b/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/internal/http/CallerServerTest.java
@@ -1,9 +1,14 @@
 package org.pomelohollow.daemon.internal.http;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
@@ -26,6 +31,7 @@
 import org.pomelohollow.daemon.protocol.SimpleResponses;
 import org.pomelohollow.daemon.settings.Settings;
 import org.pomelohollow.model.Endpoint;
+import reactor.core.publisher.Sinks;
 import reactor.netty.resources.LoopResources;
 
 class CallerServerTest {
@@ -88,6 +94,53 @@
     }
   }
 
+  /**
+   * A caller takes a response without {@code Connection: close} as leave to send its next request,
+   * which must not be discarded.
+   */
+  @Test
+  void aRequestBehindAStreamedResponseThatBeganBeforeTheDrainIsAnswered() throws Exception {
+    try (Socket s = connect()) {
+      send(s, REQUEST);
+      InboundRequest first = next();
+      Sinks.Many<ByteBuf> body = Sinks.many().unicast().onBackpressureBuffer();
+      onLoop(
+          () ->
+              first.respond(
+                  new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK),
+                  body.asFlux()));
+      assertFalse(readUntil(s, "\r\n\r\n").contains("close"));
+      onLoop(server::drain);
+      onLoop(body::tryEmitComplete);
+      readUntil(s, "0\r\n\r\n");
+      send(s, REQUEST);
+      InboundRequest second = next();
+      assertNotNull(second, "the request behind the streamed response was not handled");
+      onLoop(() -> second.respond(SimpleResponses.text(HttpResponseStatus.OK, "second")));
+      String all = new String(s.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+      assertTrue(all.contains("connection: close") && all.endsWith("second"), all);
+    }
+  }
+
+  @Test
+  void aConnectionWhoseStreamedResponseBeganBeforeTheDrainIsClosedIfNoRequestFollows()
+      throws Exception {
+    try (Socket s = connect()) {
+      send(s, REQUEST);
+      InboundRequest first = next();
+      Sinks.Many<ByteBuf> body = Sinks.many().unicast().onBackpressureBuffer();
+      onLoop(
+          () ->
+              first.respond(
+                  new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK),
+                  body.asFlux()));
+      onLoop(server::drain);
+      onLoop(body::tryEmitComplete);
+      String all = new String(s.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+      assertTrue(all.endsWith("0\r\n\r\n"), all);
+    }
+  }
+
   /** A connection that is closed with unread bytes is reset, which can destroy its responses. */
   @Test
   void aCallerWhoseLastBytesAreUnreadIsNotReset() throws Exception {
@@ -212,6 +265,16 @@
     s.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
   }
 
+  private static String readUntil(Socket s, String end) throws IOException {
+    StringBuilder all = new StringBuilder();
+    while (all.indexOf(end) < 0) {
+      int b = s.getInputStream().read();
+      assertTrue(b >= 0, "ended after " + all);
+      all.append((char) b);
+    }
+    return all.toString();
+  }
+
   private InboundRequest next() throws InterruptedException {
     return received.poll(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
   }
