Close a draining connection only after its responses are written

A connection now counts the full responses that are not written yet, closes after them, and reads no further requests while 64 are open or unwritten.

RestartTest, PlannedStopTest, PathTest and PlatformPathTest passed.

--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/InboundConnection.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/InboundConnection.java
@@ -35,7 +35,10 @@
  * not processed, so none of them may run.
  */
 final class InboundConnection extends ChannelInboundHandlerAdapter {
-  /** Requests that run concurrently for one connection; further ones wait in the socket. */
+  /**
+   * Requests of one connection that run or whose responses are not written yet; further ones wait
+   * in the socket.
+   */
   private static final int MAX_PIPELINED = 64;
 
   /**
@@ -55,6 +58,10 @@
   private boolean continueDue;
   private boolean closing;
   private boolean draining;
+
+  /** Full responses in the channel's write queue. */
+  private int unwritten;
+
   private boolean awaitsNext;
   private long lastActivityNanos;
 
@@ -126,13 +133,13 @@
   void drain() {
     draining = true;
     boolean isReceiving = reader != null;
-    if ((isReceiving && reader.isStreamed()) || isSendingLastHeadUnmarked()) {
+    if ((isReceiving && reader.isStreamed()) || isLastHeadSentUnmarked()) {
       return;
     }
     reader = null;
     continueDue = false;
     closing = true;
-    if (pending.isEmpty() && isReceiving) {
+    if (pending.isEmpty() && (isReceiving || unwritten > 0)) {
       closeAfterResponses(false);
     } else if (pending.isEmpty()) {
       close();
@@ -141,17 +148,20 @@
 
   /** Returns whether a draining server has to wait for this connection. */
   boolean isBusy() {
-    return !pending.isEmpty() || awaitsNext;
+    return !pending.isEmpty() || unwritten > 0 || awaitsNext;
   }
 
-  /** Returns whether all due heads were sent, and the last one allows a further request. */
-  private boolean isSendingLastHeadUnmarked() {
-    return sending && pending.size() == 1 && !closing;
+  /**
+   * Returns whether the heads of all responses were sent, the last one allows a further request,
+   * and the caller may not have received it yet.
+   */
+  private boolean isLastHeadSentUnmarked() {
+    return !closing && (sending ? pending.size() == 1 : pending.isEmpty() && unwritten > 0);
   }
 
   /** Closes the connection if a draining caller sends no request after an unmarked response. */
   private void awaitNextRequest() {
-    if (!draining || closing || reader != null || !pending.isEmpty()) {
+    if (!draining || closing || reader != null || !pending.isEmpty() || unwritten > 0) {
       return;
     }
     awaitsNext = true;
@@ -221,7 +231,7 @@
   }
 
   private void updateReading() {
-    boolean read = pending.size() < MAX_PIPELINED && !isBodyOverUnreadLimit();
+    boolean read = pending.size() + unwritten < MAX_PIPELINED && !isBodyOverUnreadLimit();
     if (!read && ctx.channel().config().isAutoRead()) {
       listener.readingPaused(this);
     }
@@ -260,7 +270,7 @@
     if (last) {
       reader = null;
       continueDue = false;
-      closing |= draining && (start || !isSendingLastHeadUnmarked());
+      closing |= draining && (start || !isLastHeadSentUnmarked());
     }
     if (start) {
       startRequest(r, body);
@@ -332,10 +342,18 @@
                   ctx, p, r, () -> streamedResponseWritten(p, last), this::close));
       return;
     }
-    ctx.writeAndFlush(r);
+    unwritten++;
+    ctx.writeAndFlush(r).addListener(f -> fullResponseWritten());
     responseSent(p, last);
   }
 
+  private void fullResponseWritten() {
+    unwritten--;
+    lastActivityNanos = System.nanoTime();
+    updateReading();
+    awaitNextRequest();
+  }
+
   private boolean isLast(PendingResponse p) {
     boolean wanted = closing || shuttingDown.getAsBoolean() || !HttpUtil.isKeepAlive(p.head());
     return wanted && pending.size() == 1 && reader == null;
@@ -347,18 +365,23 @@
     pending.remove(p);
     if (last) {
       boolean callerCloses = !HttpUtil.isKeepAlive(p.head());
-      ctx.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> closeAfterResponses(callerCloses));
+      closeAfterResponses(callerCloses);
     }
     awaitNextRequest();
   }
 
   /**
-   * Closes the connection. Unless the caller asked for that, it may have sent more requests, and
-   * closing a socket with unread bytes resets the connection, which can destroy responses that the
-   * caller has not read yet. Therefore only the sending direction is closed, and what still arrives
-   * is discarded until the caller closes its side or {@link #LINGER_MILLIS} have passed.
+   * Closes the connection once all responses are written. Unless the caller asked for that, it may
+   * have sent more requests, and closing a socket with unread bytes resets the connection, which
+   * can destroy responses that the caller has not read yet. Therefore only the sending direction is
+   * closed, and what still arrives is discarded until the caller closes its side or {@link
+   * #LINGER_MILLIS} have passed.
    */
   private void closeAfterResponses(boolean callerCloses) {
+    ctx.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> closeWritten(callerCloses));
+  }
+
+  private void closeWritten(boolean callerCloses) {
     if (callerCloses || !(ctx.channel() instanceof DuplexChannel d) || !d.isActive()) {
       ctx.close();
       return;
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/ResponseBodyWriter.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/ResponseBodyWriter.java
@@ -53,8 +53,13 @@
 
   @Override
   protected void hookOnComplete() {
-    ctx.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
-    onWritten.run();
+    ctx.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
+        .addListener(
+            f -> {
+              if (f.isSuccess()) {
+                onWritten.run();
+              }
+            });
   }
 
   @Override
--- a/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/internal/http/CallerServerTest.java
+++ b/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/internal/http/CallerServerTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.buffer.ByteBuf;
@@ -141,6 +142,54 @@
     }
   }
 
+  /** Responses that the caller has not read yet stand in the write queue of the connection. */
+  @Test
+  void responsesThatAreNotWrittenYetReachTheirCallerAfterTheDrain() throws Exception {
+    int responses = 4;
+    String body = "b".repeat(4 << 20);
+    try (Socket s = connect()) {
+      send(s, REQUEST.repeat(responses));
+      for (int i = 0; i < responses; i++) {
+        InboundRequest r = next();
+        onLoop(() -> r.respond(SimpleResponses.text(HttpResponseStatus.OK, body)));
+      }
+      onLoop(server::drain);
+      onLoop(() -> assertFalse(server.isDrained()));
+      byte[] all = s.getInputStream().readAllBytes();
+      assertTrue(all.length > responses * body.length(), all.length + " bytes");
+    }
+    onLoop(() -> assertTrue(server.isDrained()));
+  }
+
+  /** The last response may have announced the end of the connection before the drain. */
+  @Test
+  void aLastResponseThatIsNotWrittenYetReachesItsCallerAfterTheDrain() throws Exception {
+    String body = "b".repeat(16 << 20);
+    try (Socket s = connect()) {
+      send(s, REQUEST.replace("Host", "Connection: close\r\nHost"));
+      InboundRequest r = next();
+      onLoop(() -> r.respond(SimpleResponses.text(HttpResponseStatus.OK, body)));
+      onLoop(server::drain);
+      assertTrue(s.getInputStream().readAllBytes().length > body.length());
+    }
+  }
+
+  /** Each response that a caller does not read takes memory until it is written. */
+  @Test
+  void requestsWaitWhileResponsesToEarlierOnesAreNotWritten() throws Exception {
+    String body = "b".repeat(1 << 20);
+    int inOneRead = 2 * PIPELINED;
+    try (Socket s = connect()) {
+      send(s, REQUEST.repeat(inOneRead));
+      for (int i = 0; i < inOneRead; i++) {
+        InboundRequest r = next();
+        onLoop(() -> r.respond(SimpleResponses.text(HttpResponseStatus.OK, body)));
+      }
+      send(s, REQUEST);
+      assertNull(received.poll(ARRIVAL_MILLIS, TimeUnit.MILLISECONDS));
+    }
+  }
+
   /** A connection that is closed with unread bytes is reset, which can destroy its responses. */
   @Test
   void aCallerWhoseLastBytesAreUnreadIsNotReset() throws Exception {
