Bound the bytes of request bodies that a daemon holds

A request body was written to the target whether or not the target read it, so the caller was never paused.

RequestBodyWriter takes the next part once the last is written. BodyPipe owns the unread parts, 256 KB for a connection, within a budget of the daemon of a quarter of its heap size. Once that is spent a connection holds one read, and requests with long bodies are refused as not run before their bodies. The parts of a cancelled body are released now.

CallerServerTest, PathTest and PlatformPathTest passed.

--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/Daemon.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/Daemon.java
@@ -17,6 +17,7 @@
 import org.pomelohollow.daemon.internal.http.EntryPoint;
 import org.pomelohollow.daemon.internal.http.HttpServers;
 import org.pomelohollow.daemon.internal.http.InboundServer;
+import org.pomelohollow.daemon.internal.io.BodyBudget;
 import org.pomelohollow.daemon.internal.link.PeerLinkListener;
 import org.pomelohollow.daemon.internal.link.PeerLinks;
 import org.pomelohollow.daemon.internal.log.LogPoller;
@@ -61,6 +62,7 @@
   private final DaemonMetrics metrics = new DaemonMetrics();
   private final RequestLog requestLog = new RequestLog(this::configurationChange);
   private final CancellationLog cancellationLog = new CancellationLog(metrics);
+  private final BodyBudget bodyBudget = BodyBudget.ofProcess();
   private final TargetNoticeCache notices = new TargetNoticeCache();
   private final TargetRequestRegistry runningRequests = new TargetRequestRegistry();
   private final Deployment deployment;
@@ -90,6 +92,7 @@
             runningRequests,
             System::nanoTime,
             settings.limits().maxBodyBytes(),
+            bodyBudget,
             deployment.callerProtocol(),
             this::requestEnded);
     this.links =
@@ -255,7 +258,13 @@
 
   private InboundServer startServer(Endpoint a, InboundHandler handler) {
     return InboundServer.start(
-        a, loops, settings.limits(), () -> shuttingDown, metrics::recordPausedReading, handler);
+        a,
+        loops,
+        settings.limits(),
+        bodyBudget,
+        () -> shuttingDown,
+        metrics::recordPausedReading,
+        handler);
   }
 
   private boolean isReady() {
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetConnection.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetConnection.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -182,14 +183,16 @@
   }
 
   private void sendBody(Flux<ByteBuf> body) {
-    bodySubscription =
-        body.subscribe(
+    RequestBodyWriter w =
+        new RequestBodyWriter(
             b -> write(new DefaultHttpContent(b)),
-            t -> fail(RequestBody.failureCode(t), "request body was truncated"),
             () -> {
               requestSent = true;
               write(LastHttpContent.EMPTY_LAST_CONTENT);
-            });
+            },
+            t -> fail(RequestBody.failureCode(t), "request body was truncated"));
+    bodySubscription = w;
+    body.subscribe(w);
   }
 
   /**
@@ -197,7 +200,7 @@
    * the decoder would take that for the end of a response without a length; the promise of the
    * write fails before.
    */
-  private void write(HttpObject part) {
+  private ChannelFuture write(HttpObject part) {
     ChannelPromise p = channel.newPromise();
     p.addListener(
         f -> {
@@ -205,7 +208,7 @@
             fail(ErrorCode.CONNECTION_LOST, f.cause().toString());
           }
         });
-    channel.writeAndFlush(part, p);
+    return channel.writeAndFlush(part, p);
   }
 
   /** Processes the head of a response; returns false if no body is to be read for it. */
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/BodyReader.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/BodyReader.java
@@ -5,12 +5,11 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpUtil;
 import java.io.ByteArrayOutputStream;
-import java.util.Optional;
+import org.pomelohollow.daemon.internal.io.BodyPipe;
 import org.pomelohollow.daemon.protocol.RequestBody;
 import org.pomelohollow.errors.ErrorCode;
 import org.pomelohollow.errors.PomelohollowException;
 import reactor.core.publisher.Flux;
-import reactor.core.publisher.Sinks;
 
 /**
  * Reads the body of one request. A short body is buffered until it is complete; a longer one
@@ -20,27 +19,28 @@
   /** Largest body that is read completely before the request starts, in bytes. */
   static final int MAX_BUFFERED_BYTES = 16 * 1024;
 
-  /** Received bytes that nobody has read yet, above which reading from the connection pauses. */
-  private static final long MAX_UNREAD_BYTES = 256 * 1024;
-
   private final HttpRequest head;
   private final long length;
   private final long maxBytes;
-  private final Runnable resumeReading;
+  private final BodyPipe rest;
   private final ByteArrayOutputStream buffered = new ByteArrayOutputStream();
 
-  /** Part of the body after the buffered one; present once the body is streamed. */
-  private Optional<Sinks.Many<ByteBuf>> rest = Optional.empty();
-
+  private boolean streamed;
   private boolean complete;
   private long receivedBytes;
-  private long unreadBytes;
 
-  BodyReader(HttpRequest head, long maxBytes, Runnable resumeReading) {
+  /**
+   * Creates a reader.
+   *
+   * @param head head of the request
+   * @param maxBytes largest allowed body, in bytes
+   * @param rest receives the part of the body after the buffered one
+   */
+  BodyReader(HttpRequest head, long maxBytes, BodyPipe rest) {
     this.head = head;
     this.length = HttpUtil.getContentLength(head, -1L);
     this.maxBytes = maxBytes;
-    this.resumeReading = resumeReading;
+    this.rest = rest;
   }
 
   HttpRequest head() {
@@ -57,13 +57,13 @@
   boolean add(ByteBuf b, boolean last) {
     receivedBytes += b.readableBytes();
     complete = last;
-    if (rest.isPresent()) {
-      emit(rest.get(), b);
+    if (streamed) {
+      emit(b);
       return false;
     }
     if (receivedBytes > MAX_BUFFERED_BYTES) {
-      rest = Optional.of(Sinks.many().unicast().onBackpressureBuffer());
-      emit(rest.get(), b);
+      streamed = true;
+      emit(b);
       return true;
     }
     byte[] bytes = new byte[b.readableBytes()];
@@ -75,23 +75,21 @@
 
   /** Returns whether the request has started before its body was complete. */
   boolean isStreamed() {
-    return rest.isPresent();
+    return streamed;
   }
 
   /** Returns the body for the request that starts now. */
   RequestBody createBody() {
-    if (rest.isEmpty()) {
+    if (!streamed) {
       return RequestBody.buffered(buffered.toByteArray());
     }
     Flux<ByteBuf> first = Flux.just(Unpooled.wrappedBuffer(buffered.toByteArray()));
-    Flux<ByteBuf> all =
-        first.concatWith(rest.get().asFlux().doOnNext(b -> countRead(b.readableBytes())));
-    return RequestBody.streamed(all, length);
+    return RequestBody.streamed(first.concatWith(rest.flux()), length);
   }
 
   /** Returns whether reading from the connection is to pause until the body has been read. */
   boolean isOverUnreadLimit() {
-    return rest.isPresent() && unreadBytes > MAX_UNREAD_BYTES;
+    return rest.isFull();
   }
 
   /**
@@ -100,35 +98,21 @@
    * @param code reason of that
    */
   void fail(ErrorCode code) {
-    rest.ifPresent(
-        s ->
-            s.tryEmitError(
-                new PomelohollowException(
-                    code, "the connection was closed before the end of the body")));
+    rest.fail(
+        new PomelohollowException(code, "the connection was closed before the end of the body"));
   }
 
-  private void emit(Sinks.Many<ByteBuf> sink, ByteBuf b) {
+  private void emit(ByteBuf b) {
     if (receivedBytes > maxBytes) {
       b.release();
-      sink.tryEmitError(
+      rest.fail(
           new PomelohollowException(
               ErrorCode.REQUEST_TOO_LARGE, "request body is larger than " + maxBytes + " bytes"));
       return;
     }
-    unreadBytes += b.readableBytes();
-    if (sink.tryEmitNext(b).isFailure()) {
-      b.release();
-    }
+    rest.add(b);
     if (complete) {
-      sink.tryEmitComplete();
-    }
-  }
-
-  private void countRead(int n) {
-    boolean wasOverLimit = isOverUnreadLimit();
-    unreadBytes -= n;
-    if (wasOverLimit && !isOverUnreadLimit()) {
-      resumeReading.run();
+      rest.complete();
     }
   }
 }
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/EntryPoint.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/EntryPoint.java
@@ -9,6 +9,7 @@
 import java.util.function.LongSupplier;
 import org.pomelohollow.daemon.internal.call.AttemptHandler;
 import org.pomelohollow.daemon.internal.call.TargetRequestRegistry;
+import org.pomelohollow.daemon.internal.io.BodyBudget;
 import org.pomelohollow.daemon.protocol.CallerProtocol;
 import org.pomelohollow.daemon.protocol.CallerRequest;
 import org.pomelohollow.daemon.protocol.InboundRequest;
@@ -31,6 +32,7 @@
   private final TargetRequestRegistry running;
   private final LongSupplier clock;
   private final long maxBodyBytes;
+  private final BodyBudget budget;
   private final CallerProtocol protocol;
   private final RequestObserver observer;
   private final Map<String, OpenExchange> exchanges = new HashMap<>();
@@ -45,6 +47,8 @@
    * @param running registry of the requests that run at this host's target
    * @param clock monotonic time, in nanoseconds
    * @param maxBodyBytes largest allowed request body, in bytes
+   * @param budget bounds the bytes of request bodies that are held; while it is spent, requests
+   *     with long bodies are refused before their bodies are read
    * @param protocol protocol of the callers
    * @param observer notified of every request that ends
    */
@@ -53,6 +57,7 @@
       TargetRequestRegistry running,
       LongSupplier clock,
       long maxBodyBytes,
+      BodyBudget budget,
       CallerProtocol protocol,
       RequestObserver observer) {
     this.observer = observer;
@@ -60,6 +65,7 @@
     this.running = running;
     this.clock = clock;
     this.maxBodyBytes = maxBodyBytes;
+    this.budget = budget;
     this.protocol = protocol;
   }
 
@@ -128,6 +134,8 @@
         reject(in, id, ErrorCode.DRAINING);
       } else if (in.body().lengthBytes() > maxBodyBytes) {
         reject(in, id, ErrorCode.REQUEST_TOO_LARGE);
+      } else if (in.body().streamed().isPresent() && budget.isSpent()) {
+        reject(in, id, ErrorCode.OVERLOADED);
       } else {
         startExchange(in, r, id, parent);
       }
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/InboundConnection.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/InboundConnection.java
@@ -20,6 +20,8 @@
 import java.util.Deque;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import org.pomelohollow.daemon.internal.io.BodyBudget;
+import org.pomelohollow.daemon.internal.io.BodyPipe;
 import org.pomelohollow.daemon.protocol.InboundHandler;
 import org.pomelohollow.daemon.protocol.RequestBody;
 import org.pomelohollow.errors.ErrorCode;
@@ -50,6 +52,7 @@
   private final InboundHandler handler;
   private final BooleanSupplier shuttingDown;
   private final long maxBodyBytes;
+  private final BodyBudget budget;
   private final Listener listener;
   private final Deque<PendingResponse> pending = new ArrayDeque<>();
   private ChannelHandlerContext ctx;
@@ -66,7 +69,12 @@
   private long lastActivityNanos;
 
   InboundConnection(
-      InboundHandler handler, BooleanSupplier shuttingDown, long maxBodyBytes, Listener listener) {
+      InboundHandler handler,
+      BooleanSupplier shuttingDown,
+      long maxBodyBytes,
+      BodyBudget budget,
+      Listener listener) {
+    this.budget = budget;
     this.listener = listener;
     this.handler = handler;
     this.shuttingDown = shuttingDown;
@@ -255,7 +263,7 @@
     }
     continueDue = HttpUtil.is100ContinueExpected(r);
     sendContinueIfDue();
-    reader = new BodyReader(r, maxBodyBytes, () -> ctx.channel().config().setAutoRead(true));
+    reader = new BodyReader(r, maxBodyBytes, new BodyPipe(budget, this::updateReading));
   }
 
   private void handleContent(HttpContent h) {
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/InboundServer.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/InboundServer.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
+import org.pomelohollow.daemon.internal.io.BodyBudget;
 import org.pomelohollow.daemon.internal.io.Sockets;
 import org.pomelohollow.daemon.protocol.InboundHandler;
 import org.pomelohollow.daemon.settings.Settings;
@@ -46,6 +47,7 @@
    * @param address address to bind
    * @param loops event loop resources with one worker
    * @param limits bounds on request sizes and on the time that a connection may be idle
+   * @param budget bounds the bytes of request bodies that are held
    * @param shuttingDown returns whether connections are to be closed after their last response
    * @param onReadingPaused run when a connection with open requests is not read any further for now
    * @param handler handles the requests
@@ -56,6 +58,7 @@
       Endpoint address,
       LoopResources loops,
       Settings.Limits limits,
+      BodyBudget budget,
       BooleanSupplier shuttingDown,
       Runnable onReadingPaused,
       InboundHandler handler) {
@@ -79,6 +82,7 @@
                                 handler,
                                 shuttingDown,
                                 limits.maxBodyBytes(),
+                                budget,
                                 new Connections(open, onReadingPaused)));
                   }
                 })
--- a/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/internal/call/TargetConnectionTest.java
+++ b/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/internal/call/TargetConnectionTest.java
@@ -20,6 +20,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.pomelohollow.decision.TargetAnnouncement;
 import org.pomelohollow.errors.ErrorCode;
@@ -160,6 +161,19 @@
     assertEquals("failed, reached, CONNECTION_LOST", recorder.outcome);
   }
 
+  /** The parts that a target does not read yet must stay where the caller can be paused. */
+  @Test
+  void aRequestBodyWaitsForATargetThatReadsSlowly() {
+    AtomicInteger taken = new AtomicInteger();
+    channel.pipeline().addFirst(new StandingTransport());
+    Flux<ByteBuf> body =
+        Flux.range(0, 100)
+            .map(i -> Unpooled.wrappedBuffer(new byte[PART_BYTES]))
+            .doOnNext(b -> taken.incrementAndGet());
+    send(Optional.of(100L * PART_BYTES), body);
+    assertTrue(taken.get() <= 2, taken + " parts were taken");
+  }
+
   @Test
   void aResponseWithoutALengthEndsWithItsConnectionWhileTheRequestIsStillBeingSent() {
     Sinks.Many<ByteBuf> body = Sinks.many().unicast().onBackpressureBuffer();
@@ -278,6 +292,14 @@
     channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
   }
 
+  /** Accepts what is written and never writes it. */
+  private static final class StandingTransport extends ChannelOutboundHandlerAdapter {
+    @Override
+    public void write(ChannelHandlerContext ctx, Object msg, ChannelPromise promise) {
+      ReferenceCountUtil.release(msg);
+    }
+  }
+
   /** Fails what is written at the flush, then closes the channel, as Netty's sockets do. */
   private static final class FailingTransport extends ChannelOutboundHandlerAdapter {
     private final List<ChannelPromise> unflushed = new ArrayList<>();
--- a/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/internal/http/CallerServerTest.java
+++ b/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/internal/http/CallerServerTest.java
@@ -28,6 +28,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.condition.EnabledOnOs;
 import org.junit.jupiter.api.condition.OS;
+import org.pomelohollow.daemon.internal.io.BodyBudget;
 import org.pomelohollow.daemon.protocol.InboundRequest;
 import org.pomelohollow.daemon.protocol.SimpleResponses;
 import org.pomelohollow.daemon.settings.Settings;
@@ -56,6 +57,7 @@
           new Endpoint(LOOPBACK, 0),
           loops,
           Settings.Limits.DEFAULT,
+          new BodyBudget(1 << 30),
           () -> false,
           () -> {},
           this::receive);
