Release the body of a request when its exchange ends

The end of an exchange now discards a body that nobody has begun to read.

PathTest and PlatformPathTest passed.

--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/BodyReader.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/BodyReader.java
@@ -102,6 +102,11 @@
         new PomelohollowException(code, "the connection was closed before the end of the body"));
   }
 
+  /** Discards the streamed part, also what is still to come of it, unless somebody reads it. */
+  void discardUnlessRead() {
+    rest.discardUnlessRead();
+  }
+
   private void emit(ByteBuf b) {
     if (receivedBytes > maxBytes) {
       b.release();
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/InboundConnection.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/InboundConnection.java
@@ -258,7 +258,7 @@
     long length = HttpUtil.getContentLength(r, 0L);
     if (length > maxBodyBytes) {
       closing = true;
-      startRequest(r, RequestBody.streamed(Flux.empty(), length));
+      startRequest(r, RequestBody.streamed(Flux.empty(), length), () -> {});
       return;
     }
     continueDue = HttpUtil.is100ContinueExpected(r);
@@ -273,23 +273,22 @@
     }
     boolean last = h instanceof LastHttpContent;
     boolean start = reader.add(h.content(), last);
-    HttpRequest r = reader.head();
-    RequestBody body = start ? reader.createBody() : null;
+    BodyReader current = reader;
     if (last) {
       reader = null;
       continueDue = false;
       closing |= draining && (start || !isLastHeadSentUnmarked());
     }
     if (start) {
-      startRequest(r, body);
+      startRequest(current.head(), current.createBody(), current::discardUnlessRead);
     } else if (last) {
       closeIfNothingDue();
     }
     updateReading();
   }
 
-  private void startRequest(HttpRequest r, RequestBody body) {
-    PendingResponse p = new PendingResponse(this, r, body, lastActivityNanos);
+  private void startRequest(HttpRequest r, RequestBody body, Runnable releaseBody) {
+    PendingResponse p = new PendingResponse(this, r, body, releaseBody, lastActivityNanos);
     pending.add(p);
     if (!HttpUtil.isKeepAlive(r)) {
       closing = reader == null;
@@ -319,7 +318,8 @@
     FullHttpResponse a = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status);
     a.headers().set(HttpHeaderNames.CONTENT_LENGTH, "0");
     PendingResponse p =
-        new PendingResponse(this, r, RequestBody.buffered(new byte[0]), lastActivityNanos);
+        new PendingResponse(
+            this, r, RequestBody.buffered(new byte[0]), () -> {}, lastActivityNanos);
     closing = true;
     pending.add(p);
     p.respond(a);
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/PendingResponse.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/PendingResponse.java
@@ -19,14 +19,30 @@
   private final InboundConnection connection;
   private final HttpRequest head;
   private final RequestBody body;
+  private final Runnable releaseBody;
   private final long receivedNanos;
   private final List<Runnable> goneCallbacks = new ArrayList<>();
   private Optional<HttpResponse> response = Optional.empty();
   private Optional<Flux<ByteBuf>> content = Optional.empty();
   private boolean ended;
 
+  /**
+   * Creates an open request.
+   *
+   * @param connection connection of the request
+   * @param head head of the request
+   * @param body body of the request
+   * @param releaseBody releases what nobody has begun to read of the body, run when the exchange
+   *     ends
+   * @param receivedNanos when the request was read, as monotonic time in nanoseconds
+   */
   PendingResponse(
-      InboundConnection connection, HttpRequest head, RequestBody body, long receivedNanos) {
+      InboundConnection connection,
+      HttpRequest head,
+      RequestBody body,
+      Runnable releaseBody,
+      long receivedNanos) {
+    this.releaseBody = releaseBody;
     this.receivedNanos = receivedNanos;
     this.connection = connection;
     this.head = head;
@@ -93,20 +109,29 @@
     return content;
   }
 
-  /** Marks the response as sent: the callbacks for a lost connection no longer run. */
+  /** Ends the exchange after its response: callbacks for a lost connection no longer run. */
   void markSent() {
-    ended = true;
+    end();
   }
 
-  /** Releases the unsent response and runs the callbacks, since the connection was closed. */
+  /** Ends the exchange without its response and runs the callbacks: the connection was closed. */
   void connectionLost() {
-    if (ended) {
+    if (!end()) {
       return;
     }
-    ended = true;
     if (content.isEmpty() && response.orElse(null) instanceof FullHttpResponse f) {
       f.release();
     }
     goneCallbacks.forEach(Runnable::run);
   }
+
+  /** Ends the exchange and releases what it holds; returns whether it had not ended before. */
+  private boolean end() {
+    boolean first = !ended;
+    ended = true;
+    if (first) {
+      releaseBody.run();
+    }
+    return first;
+  }
 }
--- a/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/internal/http/CallerServerTest.java
+++ b/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/internal/http/CallerServerTest.java
@@ -163,6 +163,20 @@
     onLoop(() -> assertTrue(server.isDrained()));
   }
 
+  /** Parts of a body that nobody reads paused the connection for good. */
+  @Test
+  void aRequestBehindALongBodyThatWasRefusedIsAnswered() throws Exception {
+    int length = 2 << 20;
+    try (Socket s = connect()) {
+      send(s, "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: " + length + "\r\n\r\n");
+      send(s, "b".repeat(length / 2));
+      InboundRequest first = next();
+      onLoop(() -> first.respond(SimpleResponses.empty(HttpResponseStatus.TOO_MANY_REQUESTS)));
+      send(s, "b".repeat(length / 2) + REQUEST);
+      assertNotNull(next(), "the request behind the body was not read");
+    }
+  }
+
   /** The last response may have announced the end of the connection before the drain. */
   @Test
   void aLastResponseThatIsNotWrittenYetReachesItsCallerAfterTheDrain() throws Exception {
