Replace a response past its deadline if nothing of it was sent

The refusal takes its place now, with the verdict may-have-run; only a response that has begun to be sent is cut.

--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/CallerExchange.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/CallerExchange.java
@@ -59,7 +59,9 @@
   @Override
   public void refused(Verdict verdict) {
     if (responded) {
-      inbound.abort();
+      if (!inbound.replaceUnsent(protocol.errorResponse(requestId, verdict))) {
+        inbound.abort();
+      }
       return;
     }
     responded = true;
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/InboundConnection.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/InboundConnection.java
@@ -334,6 +334,7 @@
 
   private void sendResponse(PendingResponse p) {
     HttpResponse r = p.responseHead().orElseThrow();
+    p.markStarted();
     boolean last = isLast(p);
     if (last) {
       closing = true;
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/PendingResponse.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/PendingResponse.java
@@ -24,6 +24,7 @@
   private final List<Runnable> goneCallbacks = new ArrayList<>();
   private Optional<HttpResponse> response = Optional.empty();
   private Optional<Flux<ByteBuf>> content = Optional.empty();
+  private boolean started;
   private boolean ended;
 
   /**
@@ -85,6 +86,19 @@
     connection.sendReadyResponses();
   }
 
+  @Override
+  public boolean replaceUnsent(FullHttpResponse r) {
+    if (ended || started || content.isEmpty()) {
+      r.release();
+      return false;
+    }
+    content.get().subscribe(ByteBuf::release, t -> {}).dispose();
+    content = Optional.empty();
+    response = Optional.of(r);
+    connection.sendReadyResponses();
+    return true;
+  }
+
   @Override
   public void abort() {
     connection.close();
@@ -109,6 +123,11 @@
     return content;
   }
 
+  /** Marks that the response begins to be sent: it can't be replaced any more. */
+  void markStarted() {
+    started = true;
+  }
+
   /** Ends the exchange after its response: callbacks for a lost connection no longer run. */
   void markSent() {
     end();
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/protocol/InboundRequest.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/protocol/InboundRequest.java
@@ -38,6 +38,15 @@
    */
   void respond(HttpResponse head, Flux<ByteBuf> body);
 
+  /**
+   * Replaces a response of which nothing was sent yet, because those to earlier requests are due.
+   * Its body is cancelled.
+   *
+   * @param r the response to send in its place; the callee takes ownership
+   * @return false if the response has begun to be sent or was sent, or the caller has left
+   */
+  boolean replaceUnsent(FullHttpResponse r);
+
   /** Closes the connection without a response, or in the middle of one. */
   void abort();
 
--- a/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/PathTest.java
+++ b/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/PathTest.java
@@ -240,6 +240,23 @@
         "request is cancelled", () -> fleet.target(1).counts().cancelled() > cancelledBefore);
   }
 
+  /** The end of a response that waits for its turn must not end the connection. */
+  @Test
+  void aStreamedResponsePastItsDeadlineLeavesTheResponsesBeforeItAlone() throws Exception {
+    fleet.target(0).setFaults(TargetFaults.NONE.withSlowdown(1_500));
+    try (RawCaller c = new RawCaller(fleet.daemon(0).callerAddress())) {
+      String end = " HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer " + Fleet.API_KEY + "\r\n";
+      c.write("GET /front/x" + end + "\r\n");
+      c.write("GET /back/x?bytes=3000000" + end + "Connection: close\r\n");
+      String all = c.write("Pomelo-Timeout-Ms: 300\r\n\r\n").readAll();
+      assertTrue(all.startsWith("HTTP/1.1 200 "), all);
+      int second = all.indexOf("HTTP/1.1 504 ");
+      assertTrue(second > 0 && all.indexOf("may-have-run", second) > 0, all);
+    } finally {
+      fleet.target(0).setFaults(TargetFaults.NONE);
+    }
+  }
+
   private static String echo(HttpRequest.BodyPublisher body) throws Exception {
     HttpResponse<String> r = send(Fleet.request(fleet.daemon(0), "/back/echo").POST(body));
     assertEquals(200, r.statusCode());
--- a/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/internal/http/EntryPointTest.java
+++ b/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/internal/http/EntryPointTest.java
@@ -76,6 +76,11 @@
       throw new AssertionError("a streamed response");
     }
 
+    @Override
+    public boolean replaceUnsent(FullHttpResponse r) {
+      throw new AssertionError("replaced");
+    }
+
     @Override
     public void abort() {
       throw new AssertionError("aborted");
