Give an attempt its guarded request before it is offered

A write that failed at once ended the attempt within Guard.offer, before it had the handle to report that with.

Guard.prepare hands out the handle, and the attempt submits it.

GuardClaimTest, QuarantineTest and PathTest passed.

--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/LocalAttemptHandler.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/LocalAttemptHandler.java
@@ -4,7 +4,6 @@
 import java.util.function.LongSupplier;
 import org.pomelohollow.decision.Event;
 import org.pomelohollow.decision.Node;
-import org.pomelohollow.decision.guard.GuardListener;
 import org.pomelohollow.decision.guard.GuardedRequest;
 import org.pomelohollow.model.RequestContext;
 import org.pomelohollow.model.TargetNotice;
@@ -51,9 +50,9 @@
     TargetAttempt t =
         new TargetAttempt(
             node, client, running, clock, cancellations, head, c, body, responseListener);
-    GuardListener l = t;
-    GuardedRequest g = node.guard().offer(c, head.bulk(), l, now);
+    GuardedRequest g = node.guard().prepare(c, head.bulk(), t);
     t.setGuardedRequest(g);
+    g.offer(now);
     return t::cancel;
   }
 
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/guard/Guard.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/guard/Guard.java
@@ -31,7 +31,19 @@
   }
 
   /**
-   * Submits a request.
+   * Prepares a request, so that its listener can have the handle before it is notified.
+   *
+   * @param context context of the request
+   * @param bulk whether it is a large transfer
+   * @param listener notified of the decision
+   * @return handle of the request, to be submitted by {@link GuardedRequest#offer}
+   */
+  public GuardedRequest prepare(RequestContext context, boolean bulk, GuardListener listener) {
+    return new GuardedRequest(deps, suspects, context, bulk, listener);
+  }
+
+  /**
+   * Submits a request whose listener does not report its end from within the notification.
    *
    * @param context context of the request
    * @param bulk whether it is a large transfer
@@ -41,7 +53,7 @@
    */
   public GuardedRequest offer(
       RequestContext context, boolean bulk, GuardListener listener, long nowNanos) {
-    GuardedRequest request = new GuardedRequest(deps, suspects, context, bulk, listener);
+    GuardedRequest request = prepare(context, bulk, listener);
     request.offer(nowNanos);
     return request;
   }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/guard/GuardedRequest.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/guard/GuardedRequest.java
@@ -103,7 +103,13 @@
     releaseNextSuspect(nowNanos);
   }
 
-  void offer(long nowNanos) {
+  /**
+   * Submits the request. The listener may be notified before this method returns, and may report
+   * the end of the request at once.
+   *
+   * @param nowNanos current monotonic time, in nanoseconds
+   */
+  public void offer(long nowNanos) {
     QuarantineController q = deps.quarantine();
     Optional<Long> quarantineMillis = q.remainingQuarantineMillis(context.fingerprint(), nowNanos);
     if (quarantineMillis.isPresent()) {
