Remember the withdrawal of a target that is not known yet

A restarted daemon acknowledged and forgot the deregistration of a target from which it had no heartbeat yet.

Withdrawals with a start time are kept, the latest start for each of the last 64 names.

Two tests of TargetHeartbeatSequencerTest failed before (expected STALE, was IN_SERVICE).

--- a/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/TargetHeartbeatSequencerTest.java
+++ b/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/TargetHeartbeatSequencerTest.java
@@ -53,6 +53,29 @@
     assertEquals(Outcome.STALE, sequencer.accept(heartbeat("new", 200, 2, false)));
   }
 
+  /** A daemon that was restarted learns of a withdrawal before it knows the target. */
+  @Test
+  void aDelayedHeartbeatOfAnIncarnationThatWithdrewIsStale() {
+    assertFalse(sequencer.withdraw("i", 100));
+    assertEquals(Outcome.STALE, sequencer.accept(heartbeat("i", 100, 7, false)));
+    assertEquals(Outcome.IN_SERVICE, sequencer.accept(heartbeat("i", 200, 1, false)));
+  }
+
+  @Test
+  void aWithdrawalOfAnEarlierIncarnationIsKeptWhileAnotherServes() {
+    sequencer.accept(heartbeat("new", 100, 1, false));
+    assertFalse(sequencer.withdraw("old", 150));
+    assertEquals(Outcome.STALE, sequencer.accept(heartbeat("old", 150, 7, false)));
+    assertEquals(Outcome.IN_SERVICE, sequencer.accept(heartbeat("new", 100, 2, false)));
+  }
+
+  /** Without a start time, a later incarnation of the same name could not be told apart. */
+  @Test
+  void aWithdrawalWithoutAStartTimeIsNotKept() {
+    assertFalse(sequencer.withdraw("i", 0));
+    assertEquals(Outcome.IN_SERVICE, sequencer.accept(heartbeat("i", 100, 7, false)));
+  }
+
   private static TargetHeartbeat heartbeat(
       String id, long startedMillis, long sequence, boolean draining) {
     return new TargetHeartbeat(
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/TargetHeartbeatSequencer.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/TargetHeartbeatSequencer.java
@@ -1,14 +1,30 @@
 package org.pomelohollow.decision;
 
+import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.Optional;
 
 /**
  * Orders the heartbeats of a target's successive incarnations and detects those that are out of
  * date. A heartbeat may arrive after a later one of the same incarnation, or after a new
  * incarnation has taken over the address. An incarnation that has announced that it drains never
- * returns to service.
+ * returns to service; nor does one that withdraws before its first heartbeat is received, as after
+ * a restart of the daemon.
  */
 public final class TargetHeartbeatSequencer {
+  private static final int MAX_WITHDRAWN = 64;
+
+  /** Start time of the latest withdrawn incarnation, by instance; the oldest entries go first. */
+  private final Map<String, Long> withdrawn =
+      new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
+          return size() > MAX_WITHDRAWN;
+        }
+      };
+
   private Optional<TargetAnnouncement> current = Optional.empty();
   private long sequence;
   private boolean draining;
@@ -21,6 +37,9 @@
    */
   public Outcome accept(TargetHeartbeat heartbeat) {
     TargetAnnouncement a = heartbeat.announcement();
+    if (a.startedMillis() <= withdrawn.getOrDefault(a.instance(), Long.MIN_VALUE)) {
+      return Outcome.STALE;
+    }
     if (current.filter(a::isSameIncarnation).isPresent()) {
       if (draining || heartbeat.sequence() <= sequence) {
         return Outcome.STALE;
@@ -39,7 +58,8 @@
    *
    * @param instance identifier of the incarnation that withdraws
    * @param startedMillis its wall-clock start time, in milliseconds since the epoch; 0 if unknown
-   * @return whether it is the current incarnation; otherwise nothing changes
+   * @return whether it is the current incarnation; otherwise the state of the target does not
+   *     change
    */
   public boolean withdraw(String instance, long startedMillis) {
     boolean matches =
@@ -48,6 +68,9 @@
             .filter(c -> startedMillis == 0 || startedMillis == c.startedMillis())
             .isPresent();
     draining |= matches;
+    if (startedMillis != 0) {
+      withdrawn.merge(instance, startedMillis, Math::max);
+    }
     return matches;
   }
 
