Accept only statuses 200 to 599 as final responses of a target

A target responded with status 000, and the caller got that as a response. 000, 99, 600 to 999 and a 101 fail the exchange now as malformed; the request may have run. Other interim responses are skipped as before.

TargetConnectionTest.aStatusThatIsNone... failed before: 000 gave <0 ok>. PathTest and PlatformPathTest passed.

--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetConnection.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetConnection.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -41,6 +42,9 @@
    */
   private static final int MAX_SKIPPED_MESSAGES = 64;
 
+  private static final int MIN_FINAL_STATUS = 200;
+  private static final int MAX_FINAL_STATUS = 599;
+
   /** Refused requests, above which the connection is closed. */
   private static final int MAX_REFUSED = 64;
 
@@ -213,10 +217,14 @@
 
   /** Processes the head of a response; returns false if no body is to be read for it. */
   private boolean handleHead(HttpResponse r) {
-    if (r.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+    if (isInterim(r.status())) {
       countSkippedMessage();
       return false;
     }
+    if (!isFinal(r.status())) {
+      fail(ErrorCode.ANSWER_MALFORMED, "status " + r.status().code() + " is not of a response");
+      return false;
+    }
     receiving = true;
     keepAlive = HttpUtil.isKeepAlive(r);
     idleLimitNanos = IdleLimit.after(r.headers()).toNanos();
@@ -228,6 +236,16 @@
     return true;
   }
 
+  /** Returns whether a response precedes the final one; no request asks to switch protocols. */
+  private static boolean isInterim(HttpResponseStatus s) {
+    return s.codeClass() == HttpStatusClass.INFORMATIONAL
+        && !s.equals(HttpResponseStatus.SWITCHING_PROTOCOLS);
+  }
+
+  private static boolean isFinal(HttpResponseStatus s) {
+    return s.code() >= MIN_FINAL_STATUS && s.code() <= MAX_FINAL_STATUS;
+  }
+
   private void handleContent(HttpContent c) {
     if (!(meaning instanceof TargetProtocol.ResponseKind.Valid)) {
       skippedBytes += c.content().readableBytes();
--- a/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/internal/call/TargetConnectionTest.java
+++ b/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/internal/call/TargetConnectionTest.java
@@ -228,6 +228,28 @@
     }
   }
 
+  /** A target responded with status 000, which its caller got as a response. */
+  @Test
+  void aStatusThatIsNoneOfAFinalResponseFailsTheExchange() {
+    for (String status : List.of("000", "099", "99", "600", "999", "101")) {
+      TargetConnectionTest t = new TargetConnectionTest();
+      t.send(Optional.empty(), Flux.empty());
+      t.receive(RESPONSE.replace("200 OK", status + " X"));
+      assertEquals("failed, reached, ANSWER_MALFORMED", t.recorder.outcome, status);
+      assertFalse(t.channel.isActive());
+    }
+  }
+
+  @Test
+  void theFirstAndTheLastFinalStatusAndInterimResponsesAreAccepted() {
+    for (String status : List.of("200", "599")) {
+      TargetConnectionTest t = new TargetConnectionTest();
+      t.send(Optional.empty(), Flux.empty());
+      t.receive("HTTP/1.1 103 Early Hints\r\n\r\n" + RESPONSE.replace("200", status));
+      assertEquals(status + " ok", t.recorder.outcome);
+    }
+  }
+
   @Test
   void aHeadOfManyFieldsAndAChunkOfEndlessSizeCloseTheConnection() {
     for (List<String> startAndPart :
