Blame a crash that is noticed late on the request whose connection broke

On the platform a request was blamed for a crash only if that was noticed within 1 s after its connection broke.

A broken connection is now remembered for 10 s unless the target gives a sign of life more than 1 s after it: a heartbeat of the same incarnation or a response.

--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/quarantine/QuarantineController.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/quarantine/QuarantineController.java
@@ -35,14 +35,16 @@
   /**
    * Time after a request on probation lost its connection in which other requests that lose theirs
    * are not blamed. Also the time for which {@link #markSuspect} makes a fingerprint a suspect and,
-   * unless a broken connection alone makes a suspect, the time within which a crash of the target
-   * is blamed on a request that lost its connection before.
+   * unless a broken connection alone makes a suspect, the time after which a sign of life of the
+   * target clears a request that lost its connection: an earlier one may have been sent before a
+   * crash.
    */
   private static final long COINCIDENCE_NANOS = TimeUnit.SECONDS.toNanos(1);
 
   /**
-   * If a broken connection alone makes a suspect, time within which a crash of the target is blamed
-   * on a request that lost its connection before.
+   * Time within which a crash of the target is blamed on a request that lost its connection before,
+   * if no sign of life clears it. At a quiet service the crash is noticed only when heartbeats fail
+   * to come or the next incarnation announces itself.
    */
   private static final long CONFIRMATION_NANOS = TimeUnit.SECONDS.toNanos(10);
 
@@ -67,6 +69,10 @@
   private Optional<String> instance = Optional.empty();
   private Optional<ServiceId> service = Optional.empty();
   private long currentIncarnation;
+
+  /** Whether the target has announced itself or responded since the last tick. */
+  private boolean targetAlive;
+
   private long lastGossipNanos;
   private Optional<Long> lastProbationBreakNanos = Optional.empty();
 
@@ -180,6 +186,7 @@
    */
   public void requestEnded(long fingerprint, boolean onProbation, boolean responded) {
     removeRunning(fingerprint, onProbation);
+    targetAlive |= responded;
     if (responded && suspects.remove(fingerprint)) {
       suspectsToSend.remove(fingerprint);
       clearedToSend.add(fingerprint);
@@ -248,9 +255,10 @@
       mergeGossip(h, nowNanos);
     } else if (event instanceof Event.Tick) {
       suspects.removeExpired(nowNanos);
-      long rememberedNanos =
-          settings.suspectOnBrokenConnection() ? CONFIRMATION_NANOS : COINCIDENCE_NANOS;
+      boolean clears = targetAlive && !settings.suspectOnBrokenConnection();
+      long rememberedNanos = clears ? COINCIDENCE_NANOS : CONFIRMATION_NANOS;
       lastBreakNanos.values().removeIf(t -> nowNanos - t > rememberedNanos);
+      targetAlive = false;
       sendGossip(nowNanos);
     }
   }
@@ -267,6 +275,7 @@
   /** Treats an announcement by another instance as a crash of the previous one. */
   private void handleAnnouncement(String newInstance, long nowNanos) {
     if (instance.filter(newInstance::equals).isPresent()) {
+      targetAlive = true;
       return;
     }
     handleCrash(nowNanos);
@@ -298,6 +307,7 @@
                   + " fingerprints of its requests are suspects"));
     }
     lastBreakNanos.clear();
+    targetAlive = false;
     instance = Optional.empty();
     currentIncarnation++;
     sendGossip(nowNanos);
