Release the unread parts of a cancelled response; end a target's exchange in one place

The parts of a streamed response that its reader had not taken were never released when it cancelled, which leaked pooled memory for each caller that left. TargetExchange releases them now.

TargetConnectionTest.theUnreadPartsOfACancelledResponse... failed before: several of eight parts were still referenced. LocalAttemptHandlerTest, PathTest and PlatformPathTest passed.

--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetConnection.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetConnection.java
@@ -148,8 +148,7 @@
    */
   void cancel(TargetExchange x) {
     if (exchange.filter(x::equals).isPresent()) {
-      exchange = Optional.empty();
-      bodySubscription.dispose();
+      endExchange();
       close();
     }
   }
@@ -285,14 +284,10 @@
     if (unusable) {
       return;
     }
-    TargetExchange x = exchange.orElseThrow();
-    exchange = Optional.empty();
+    TargetExchange x = endExchange().orElseThrow();
     if (!(meaning instanceof TargetProtocol.ResponseKind.Valid)) {
       refusedRequests.add(x.requestId());
     }
-    onEnd.run();
-    bodySubscription.dispose();
-    channel.config().setAutoRead(true); // May be paused while the caller reads the last parts.
     idleSinceNanos = System.nanoTime();
     if (decoder.hasLeftover()) {
       Logger.info("target: received data after a complete response, closing the connection");
@@ -316,16 +311,24 @@
     }
   }
 
+  /**
+   * Ends the exchange, however it ends, and releases what it holds of this connection and of the
+   * client: the request's body, the pause of reading, and the watch of its deadline.
+   */
+  private Optional<TargetExchange> endExchange() {
+    Optional<TargetExchange> x = exchange;
+    exchange = Optional.empty();
+    x.ifPresent(e -> onEnd.run());
+    bodySubscription.dispose();
+    if (channel.isActive()) {
+      channel.config().setAutoRead(true); // May be paused while the caller reads the last parts.
+    }
+    return x;
+  }
+
   private void fail(ErrorCode code, String why) {
     unusable = true;
     channel.close();
-    bodySubscription.dispose();
-    Optional<TargetExchange> x = exchange;
-    exchange = Optional.empty();
-    x.ifPresent(
-        e -> {
-          onEnd.run();
-          e.fail(true, code, why);
-        });
+    endExchange().ifPresent(x -> x.fail(true, code, why));
   }
 }
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetExchange.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetExchange.java
@@ -11,9 +11,11 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Queue;
 import java.util.function.Consumer;
 import org.pomelohollow.daemon.protocol.TargetProtocol;
 import org.pomelohollow.decision.TargetAnnouncement;
@@ -46,6 +48,7 @@
   private final Flux<ByteBuf> body;
   private final TargetProtocol protocol;
   private final TargetExchangeListener listener;
+  private final Queue<ByteBuf> unread = new ArrayDeque<>();
   private final ByteBuf buffered = Unpooled.buffer();
   private Optional<HttpHeaders> requestHeaders = Optional.empty();
   private Optional<HttpResponse> responseHead = Optional.empty();
@@ -139,12 +142,14 @@
       if (unreadBytes > MAX_UNREAD_BYTES) {
         setReading.accept(false);
       }
-      streamedResponse.get().tryEmitNext(b.retain()).orThrow();
+      if (streamedResponse.get().tryEmitNext(b.retain()).isFailure()) {
+        b.release(); // Its reader has cancelled.
+      }
       return;
     }
     buffered.writeBytes(b);
     if (buffered.readableBytes() > MAX_BUFFERED_BYTES) {
-      Sinks.Many<ByteBuf> s = Sinks.many().unicast().onBackpressureBuffer();
+      Sinks.Many<ByteBuf> s = Sinks.many().unicast().onBackpressureBuffer(unread);
       unreadBytes = buffered.readableBytes();
       s.tryEmitNext(buffered).orThrow();
       streamedResponse = Optional.of(s);
@@ -153,7 +158,15 @@
           r.status().code(),
           new TargetExchangeListener.StreamedResponse(
               protocol.fieldsForCaller(r.headers()),
-              s.asFlux().doOnNext(part -> countRead(part.readableBytes(), setReading))));
+              s.asFlux()
+                  .doOnNext(part -> countRead(part.readableBytes(), setReading))
+                  .doOnCancel(this::discardUnread)));
+    }
+  }
+
+  private void discardUnread() {
+    for (ByteBuf b = unread.poll(); b != null; b = unread.poll()) {
+      b.release();
     }
   }
 
--- a/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/internal/call/TargetConnectionTest.java
+++ b/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/internal/call/TargetConnectionTest.java
@@ -133,6 +133,22 @@
     assertEquals("complete", recorder.outcome);
   }
 
+  /** Unread parts of a response whose caller left were never released. */
+  @Test
+  void theUnreadPartsOfACancelledResponseAreReleased() {
+    List<ByteBuf> parts = new ArrayList<>();
+    send(Optional.empty(), Flux.empty());
+    receive("HTTP/1.1 200 OK\r\nPomelo-Request-Id: r1\r\nContent-Length: 9000000\r\n\r\n");
+    for (int i = 0; i < 8; i++) {
+      ByteBuf b = Unpooled.wrappedBuffer(new byte[PART_BYTES]);
+      parts.add(b);
+      channel.writeInbound(b);
+    }
+    recorder.reader.orElseThrow().cancel();
+    channel.close();
+    assertEquals(List.of(), parts.stream().filter(b -> b.refCnt() > 0).toList());
+  }
+
   @Test
   void aStreamedResponseThatIsCutIsNotComplete() {
     send(Optional.empty(), Flux.empty());
