--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetConnection.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/call/TargetConnection.java
@@ -2,13 +2,16 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -39,6 +42,9 @@
    */
   private static final int MAX_SKIPPED_MESSAGES = 64;
 
+  private static final int MIN_FINAL_STATUS = 200;
+  private static final int MAX_FINAL_STATUS = 599;
+
   /** Refused requests, above which the connection is closed. */
   private static final int MAX_REFUSED = 64;
 
@@ -132,7 +138,7 @@
     requestSent = newExchange.streamedBody().isEmpty();
     HttpRequest r = newExchange.createRequest(target, nowNanos);
     decoder.setMethod(r.method());
-    channel.writeAndFlush(r).addListener(f -> writeCompleted(f.cause()));
+    write(r);
     newExchange.streamedBody().ifPresent(this::sendBody);
   }
 
@@ -142,8 +148,7 @@
    */
   void cancel(TargetExchange x) {
     if (exchange.filter(x::equals).isPresent()) {
-      exchange = Optional.empty();
-      bodySubscription.dispose();
+      endExchange();
       close();
     }
   }
@@ -181,28 +186,44 @@
   }
 
   private void sendBody(Flux<ByteBuf> body) {
-    bodySubscription =
-        body.subscribe(
-            b -> channel.writeAndFlush(new DefaultHttpContent(b)),
-            t -> fail(RequestBody.failureCode(t), "request body was truncated"),
+    RequestBodyWriter w =
+        new RequestBodyWriter(
+            b -> write(new DefaultHttpContent(b)),
             () -> {
               requestSent = true;
-              channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
-            });
+              write(LastHttpContent.EMPTY_LAST_CONTENT);
+            },
+            t -> fail(RequestBody.failureCode(t), "request body was truncated"));
+    bodySubscription = w;
+    body.subscribe(w);
   }
 
-  private void writeCompleted(Throwable cause) {
-    if (cause != null) {
-      fail(ErrorCode.CONNECTION_LOST, cause.toString());
-    }
+  /**
+   * Writes a part of the request. A failed write closes the channel without an exception event, and
+   * the decoder would take that for the end of a response without a length; the promise of the
+   * write fails before.
+   */
+  private ChannelFuture write(HttpObject part) {
+    ChannelPromise p = channel.newPromise();
+    p.addListener(
+        f -> {
+          if (!f.isSuccess()) {
+            fail(ErrorCode.CONNECTION_LOST, f.cause().toString());
+          }
+        });
+    return channel.writeAndFlush(part, p);
   }
 
   /** Processes the head of a response; returns false if no body is to be read for it. */
   private boolean handleHead(HttpResponse r) {
-    if (r.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+    if (isInterim(r.status())) {
       countSkippedMessage();
       return false;
     }
+    if (!isFinal(r.status())) {
+      fail(ErrorCode.ANSWER_MALFORMED, "status " + r.status().code() + " is not of a response");
+      return false;
+    }
     receiving = true;
     keepAlive = HttpUtil.isKeepAlive(r);
     idleLimitNanos = IdleLimit.after(r.headers()).toNanos();
@@ -214,6 +235,16 @@
     return true;
   }
 
+  /** Returns whether a response precedes the final one; no request asks to switch protocols. */
+  private static boolean isInterim(HttpResponseStatus s) {
+    return s.codeClass() == HttpStatusClass.INFORMATIONAL
+        && !s.equals(HttpResponseStatus.SWITCHING_PROTOCOLS);
+  }
+
+  private static boolean isFinal(HttpResponseStatus s) {
+    return s.code() >= MIN_FINAL_STATUS && s.code() <= MAX_FINAL_STATUS;
+  }
+
   private void handleContent(HttpContent c) {
     if (!(meaning instanceof TargetProtocol.ResponseKind.Valid)) {
       skippedBytes += c.content().readableBytes();
@@ -253,14 +284,10 @@
     if (unusable) {
       return;
     }
-    TargetExchange x = exchange.orElseThrow();
-    exchange = Optional.empty();
+    TargetExchange x = endExchange().orElseThrow();
     if (!(meaning instanceof TargetProtocol.ResponseKind.Valid)) {
       refusedRequests.add(x.requestId());
     }
-    onEnd.run();
-    bodySubscription.dispose();
-    channel.config().setAutoRead(true); // May be paused while the caller reads the last parts.
     idleSinceNanos = System.nanoTime();
     if (decoder.hasLeftover()) {
       Logger.info("target: received data after a complete response, closing the connection");
@@ -284,16 +311,24 @@
     }
   }
 
+  /**
+   * Ends the exchange, however it ends, and releases what it holds of this connection and of the
+   * client: the request's body, the pause of reading, and the watch of its deadline.
+   */
+  private Optional<TargetExchange> endExchange() {
+    Optional<TargetExchange> x = exchange;
+    exchange = Optional.empty();
+    x.ifPresent(e -> onEnd.run());
+    bodySubscription.dispose();
+    if (channel.isActive()) {
+      channel.config().setAutoRead(true); // May be paused while the caller reads the last parts.
+    }
+    return x;
+  }
+
   private void fail(ErrorCode code, String why) {
     unusable = true;
     channel.close();
-    bodySubscription.dispose();
-    Optional<TargetExchange> x = exchange;
-    exchange = Optional.empty();
-    x.ifPresent(
-        e -> {
-          onEnd.run();
-          e.fail(true, code, why);
-        });
+    endExchange().ifPresent(x -> x.fail(true, code, why));
   }
 }
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/InboundConnection.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/internal/http/InboundConnection.java
@@ -1,12 +1,10 @@
 package org.pomelohollow.daemon.internal.http;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -22,12 +20,12 @@
 import java.util.Deque;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import org.pomelohollow.daemon.internal.io.BodyBudget;
+import org.pomelohollow.daemon.internal.io.BodyPipe;
 import org.pomelohollow.daemon.protocol.InboundHandler;
 import org.pomelohollow.daemon.protocol.RequestBody;
 import org.pomelohollow.errors.ErrorCode;
-import org.reactivestreams.Subscription;
 import org.tinylog.Logger;
-import reactor.core.publisher.BaseSubscriber;
 import reactor.core.publisher.Flux;
 
 /**
@@ -39,15 +37,22 @@
  * not processed, so none of them may run.
  */
 final class InboundConnection extends ChannelInboundHandlerAdapter {
-  /** Requests that run concurrently for one connection; further ones wait in the socket. */
+  /**
+   * Requests of one connection that run or whose responses are not written yet; further ones wait
+   * in the socket.
+   */
   private static final int MAX_PIPELINED = 64;
 
-  /** Time for the caller to close its side after the last response, in milliseconds. */
+  /**
+   * Time for the caller to close its side after the last response, or to send the request that a
+   * response without {@code Connection: close} allows, in milliseconds.
+   */
   private static final long LINGER_MILLIS = 500;
 
   private final InboundHandler handler;
   private final BooleanSupplier shuttingDown;
   private final long maxBodyBytes;
+  private final BodyBudget budget;
   private final Listener listener;
   private final Deque<PendingResponse> pending = new ArrayDeque<>();
   private ChannelHandlerContext ctx;
@@ -56,10 +61,20 @@
   private boolean continueDue;
   private boolean closing;
   private boolean draining;
+
+  /** Full responses in the channel's write queue. */
+  private int unwritten;
+
+  private boolean awaitsNext;
   private long lastActivityNanos;
 
   InboundConnection(
-      InboundHandler handler, BooleanSupplier shuttingDown, long maxBodyBytes, Listener listener) {
+      InboundHandler handler,
+      BooleanSupplier shuttingDown,
+      long maxBodyBytes,
+      BodyBudget budget,
+      Listener listener) {
+    this.budget = budget;
     this.listener = listener;
     this.handler = handler;
     this.shuttingDown = shuttingDown;
@@ -118,26 +133,59 @@
   }
 
   /**
-   * Accepts no further request, and closes the connection after the last due response. A request
-   * that has not started, because its body is not complete, is dropped; one that has started may
-   * still send the rest of its body.
+   * Closes the connection after the last due response, which says so, and accepts no further
+   * request. If the head of the last response was sent before, one more request is accepted, since
+   * the caller may send it. A request that has not started, because its body is not complete, is
+   * dropped; one that has started may still send the rest of its body.
    */
   void drain() {
     draining = true;
     boolean isReceiving = reader != null;
-    if (isReceiving && reader.isStreamed()) {
+    if ((isReceiving && reader.isStreamed()) || isLastHeadSentUnmarked()) {
       return;
     }
     reader = null;
     continueDue = false;
     closing = true;
-    if (pending.isEmpty() && isReceiving) {
+    if (pending.isEmpty() && (isReceiving || unwritten > 0)) {
       closeAfterResponses(false);
     } else if (pending.isEmpty()) {
       close();
     }
   }
 
+  /** Returns whether a draining server has to wait for this connection. */
+  boolean isBusy() {
+    return !pending.isEmpty() || unwritten > 0 || awaitsNext;
+  }
+
+  /**
+   * Returns whether the heads of all responses were sent, the last one allows a further request,
+   * and the caller may not have received it yet.
+   */
+  private boolean isLastHeadSentUnmarked() {
+    return !closing && (sending ? pending.size() == 1 : pending.isEmpty() && unwritten > 0);
+  }
+
+  /** Closes the connection if a draining caller sends no request after an unmarked response. */
+  private void awaitNextRequest() {
+    if (!draining || closing || reader != null || !pending.isEmpty() || unwritten > 0) {
+      return;
+    }
+    awaitsNext = true;
+    ctx.executor()
+        .schedule(
+            () -> {
+              awaitsNext = false;
+              if (!closing && reader == null && pending.isEmpty()) {
+                closing = true;
+                closeAfterResponses(false);
+              }
+            },
+            LINGER_MILLIS,
+            TimeUnit.MILLISECONDS);
+  }
+
   /** Ends the request whose body is still being received after {@link #drain}. */
   void abortUpload() {
     if (draining && reader != null) {
@@ -191,7 +239,7 @@
   }
 
   private void updateReading() {
-    boolean read = pending.size() < MAX_PIPELINED && !isBodyOverUnreadLimit();
+    boolean read = pending.size() + unwritten < MAX_PIPELINED && !isBodyOverUnreadLimit();
     if (!read && ctx.channel().config().isAutoRead()) {
       listener.readingPaused(this);
     }
@@ -210,15 +258,15 @@
     long length = HttpUtil.getContentLength(r, 0L);
     if (length > maxBodyBytes) {
       closing = true;
-      startRequest(r, RequestBody.streamed(Flux.empty(), length));
+      startRequest(r, RequestBody.streamed(Flux.empty(), length), () -> {});
       return;
     }
     continueDue = HttpUtil.is100ContinueExpected(r);
     sendContinueIfDue();
-    reader = new BodyReader(r, maxBodyBytes, () -> ctx.channel().config().setAutoRead(true));
+    reader = new BodyReader(r, maxBodyBytes, new BodyPipe(budget, this::updateReading));
     // A caller that waits for an interim response gets it before its request starts.
     if (!HttpUtil.is100ContinueExpected(r) && reader.streamIfLong()) {
-      startRequest(r, reader.createBody());
+      startRequest(r, reader.createBody(), reader::discardUnlessRead);
     }
   }
 
@@ -229,23 +277,22 @@
     }
     boolean last = h instanceof LastHttpContent;
     boolean start = reader.add(h.content(), last);
-    HttpRequest r = reader.head();
-    RequestBody body = start ? reader.createBody() : null;
+    BodyReader current = reader;
     if (last) {
       reader = null;
       continueDue = false;
-      closing |= draining;
+      closing |= draining && (start || !isLastHeadSentUnmarked());
     }
     if (start) {
-      startRequest(r, body);
+      startRequest(current.head(), current.createBody(), current::discardUnlessRead);
     } else if (last) {
       closeIfNothingDue();
     }
     updateReading();
   }
 
-  private void startRequest(HttpRequest r, RequestBody body) {
-    PendingResponse p = new PendingResponse(this, r, body, lastActivityNanos);
+  private void startRequest(HttpRequest r, RequestBody body, Runnable releaseBody) {
+    PendingResponse p = new PendingResponse(this, r, body, releaseBody, lastActivityNanos);
     pending.add(p);
     if (!HttpUtil.isKeepAlive(r)) {
       closing = reader == null;
@@ -275,7 +322,8 @@
     FullHttpResponse a = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status);
     a.headers().set(HttpHeaderNames.CONTENT_LENGTH, "0");
     PendingResponse p =
-        new PendingResponse(this, r, RequestBody.buffered(new byte[0]), lastActivityNanos);
+        new PendingResponse(
+            this, r, RequestBody.buffered(new byte[0]), () -> {}, lastActivityNanos);
     closing = true;
     pending.add(p);
     p.respond(a);
@@ -290,6 +338,7 @@
 
   private void sendResponse(PendingResponse p) {
     HttpResponse r = p.responseHead().orElseThrow();
+    p.markStarted();
     boolean last = isLast(p);
     if (last) {
       closing = true;
@@ -299,13 +348,25 @@
     }
     if (p.content().isPresent()) {
       sending = true;
-      p.content().get().subscribe(new ResponseBodySubscriber(p, r, last));
+      p.content()
+          .get()
+          .subscribe(
+              new ResponseBodyWriter(
+                  ctx, p, r, () -> streamedResponseWritten(p, last), this::close));
       return;
     }
-    ctx.writeAndFlush(r);
+    unwritten++;
+    ctx.writeAndFlush(r).addListener(f -> fullResponseWritten());
     responseSent(p, last);
   }
 
+  private void fullResponseWritten() {
+    unwritten--;
+    lastActivityNanos = System.nanoTime();
+    updateReading();
+    awaitNextRequest();
+  }
+
   private boolean isLast(PendingResponse p) {
     boolean wanted = closing || shuttingDown.getAsBoolean() || !HttpUtil.isKeepAlive(p.head());
     return wanted && pending.size() == 1 && reader == null;
@@ -317,17 +378,23 @@
     pending.remove(p);
     if (last) {
       boolean callerCloses = !HttpUtil.isKeepAlive(p.head());
-      ctx.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> closeAfterResponses(callerCloses));
+      closeAfterResponses(callerCloses);
     }
+    awaitNextRequest();
   }
 
   /**
-   * Closes the connection. Unless the caller asked for that, it may have sent more requests, and
-   * closing a socket with unread bytes resets the connection, which can destroy responses that the
-   * caller has not read yet. Therefore only the sending direction is closed, and what still arrives
-   * is discarded until the caller closes its side or {@link #LINGER_MILLIS} have passed.
+   * Closes the connection once all responses are written. Unless the caller asked for that, it may
+   * have sent more requests, and closing a socket with unread bytes resets the connection, which
+   * can destroy responses that the caller has not read yet. Therefore only the sending direction is
+   * closed, and what still arrives is discarded until the caller closes its side or {@link
+   * #LINGER_MILLIS} have passed.
    */
   private void closeAfterResponses(boolean callerCloses) {
+    ctx.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> closeWritten(callerCloses));
+  }
+
+  private void closeWritten(boolean callerCloses) {
     if (callerCloses || !(ctx.channel() instanceof DuplexChannel d) || !d.isActive()) {
       ctx.close();
       return;
@@ -349,43 +416,10 @@
     void readingPaused(InboundConnection c);
   }
 
-  /** Sends a streamed response body, one buffer at a time, as fast as the caller reads. */
-  private final class ResponseBodySubscriber extends BaseSubscriber<ByteBuf> {
-    private final PendingResponse response;
-    private final boolean last;
-
-    ResponseBodySubscriber(PendingResponse response, HttpResponse head, boolean last) {
-      this.response = response;
-      this.last = last;
-      if (!HttpUtil.isContentLengthSet(head)) {
-        HttpUtil.setTransferEncodingChunked(head, true);
-      }
-      ctx.writeAndFlush(head);
-      response.onDisconnect(this::cancel);
-    }
-
-    @Override
-    protected void hookOnSubscribe(Subscription s) {
-      request(1);
-    }
-
-    @Override
-    protected void hookOnNext(ByteBuf b) {
-      ctx.writeAndFlush(new DefaultHttpContent(b)).addListener(f -> request(1));
-    }
-
-    @Override
-    protected void hookOnComplete() {
-      sending = false;
-      ctx.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
-      responseSent(response, last);
-      sendReadyResponses();
-    }
-
-    @Override
-    protected void hookOnError(Throwable t) {
-      Logger.info("callers: response body failed, closing the connection: {}", t.toString());
-      close();
-    }
+  /** Ends a streamed response whose body was written entirely. */
+  private void streamedResponseWritten(PendingResponse p, boolean last) {
+    sending = false;
+    responseSent(p, last);
+    sendReadyResponses();
   }
 }
--- a/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/internal/call/TargetConnectionTest.java
+++ b/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/internal/call/TargetConnectionTest.java
@@ -6,15 +6,21 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.pomelohollow.decision.TargetAnnouncement;
 import org.pomelohollow.errors.ErrorCode;
@@ -128,6 +134,22 @@
     assertEquals("complete", recorder.outcome);
   }
 
+  /** Unread parts of a response whose caller left were never released. */
+  @Test
+  void theUnreadPartsOfACancelledResponseAreReleased() {
+    List<ByteBuf> parts = new ArrayList<>();
+    send(Optional.empty(), Flux.empty());
+    receive("HTTP/1.1 200 OK\r\nPomelo-Request-Id: r1\r\nContent-Length: 9000000\r\n\r\n");
+    for (int i = 0; i < 8; i++) {
+      ByteBuf b = Unpooled.wrappedBuffer(new byte[PART_BYTES]);
+      parts.add(b);
+      channel.writeInbound(b);
+    }
+    recorder.reader.orElseThrow().cancel();
+    channel.close();
+    assertEquals(List.of(), parts.stream().filter(b -> b.refCnt() > 0).toList());
+  }
+
   @Test
   void aStreamedResponseThatIsCutIsNotComplete() {
     send(Optional.empty(), Flux.empty());
@@ -140,6 +162,44 @@
     assertEquals("truncated", recorder.outcome);
   }
 
+  /**
+   * A transport whose write fails closes the channel without an exception event, which the decoder
+   * cannot tell from the end of a body without a length.
+   */
+  @Test
+  void aResponseWithoutALengthIsNotCompleteIfTheRequestBodyCannotBeWritten() {
+    Sinks.Many<ByteBuf> body = Sinks.many().unicast().onBackpressureBuffer();
+    send(Optional.of(10L), body.asFlux());
+    receive("HTTP/1.1 200 OK\r\nPomelo-Request-Id: r1\r\n\r\nbegin");
+    channel.pipeline().addFirst(new FailingTransport());
+    body.tryEmitNext(Unpooled.copiedBuffer("12345", StandardCharsets.ISO_8859_1)).orThrow();
+    channel.runPendingTasks();
+    assertFalse(channel.isActive());
+    assertEquals("failed, reached, CONNECTION_LOST", recorder.outcome);
+  }
+
+  /** The parts that a target does not read yet must stay where the caller can be paused. */
+  @Test
+  void aRequestBodyWaitsForATargetThatReadsSlowly() {
+    AtomicInteger taken = new AtomicInteger();
+    channel.pipeline().addFirst(new StandingTransport());
+    Flux<ByteBuf> body =
+        Flux.range(0, 100)
+            .map(i -> Unpooled.wrappedBuffer(new byte[PART_BYTES]))
+            .doOnNext(b -> taken.incrementAndGet());
+    send(Optional.of(100L * PART_BYTES), body);
+    assertTrue(taken.get() <= 2, taken + " parts were taken");
+  }
+
+  @Test
+  void aResponseWithoutALengthEndsWithItsConnectionWhileTheRequestIsStillBeingSent() {
+    Sinks.Many<ByteBuf> body = Sinks.many().unicast().onBackpressureBuffer();
+    send(Optional.of(10L), body.asFlux());
+    receive("HTTP/1.1 200 OK\r\nPomelo-Request-Id: r1\r\n\r\nwhole");
+    channel.close();
+    assertEquals("200 whole", recorder.outcome);
+  }
+
   @Test
   void headsAndResponsesOfOthersWithoutEndCloseTheConnection() {
     String text = "x".repeat(1_000);
@@ -185,6 +245,28 @@
     }
   }
 
+  /** A target responded with status 000, which its caller got as a response. */
+  @Test
+  void aStatusThatIsNoneOfAFinalResponseFailsTheExchange() {
+    for (String status : List.of("000", "099", "99", "600", "999", "101")) {
+      TargetConnectionTest t = new TargetConnectionTest();
+      t.send(Optional.empty(), Flux.empty());
+      t.receive(RESPONSE.replace("200 OK", status + " X"));
+      assertEquals("failed, reached, ANSWER_MALFORMED", t.recorder.outcome, status);
+      assertFalse(t.channel.isActive());
+    }
+  }
+
+  @Test
+  void theFirstAndTheLastFinalStatusAndInterimResponsesAreAccepted() {
+    for (String status : List.of("200", "599")) {
+      TargetConnectionTest t = new TargetConnectionTest();
+      t.send(Optional.empty(), Flux.empty());
+      t.receive("HTTP/1.1 103 Early Hints\r\n\r\n" + RESPONSE.replace("200", status));
+      assertEquals(status + " ok", t.recorder.outcome);
+    }
+  }
+
   @Test
   void aHeadOfManyFieldsAndAChunkOfEndlessSizeCloseTheConnection() {
     for (List<String> startAndPart :
@@ -249,6 +331,31 @@
     channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
   }
 
+  /** Accepts what is written and never writes it. */
+  private static final class StandingTransport extends ChannelOutboundHandlerAdapter {
+    @Override
+    public void write(ChannelHandlerContext ctx, Object msg, ChannelPromise promise) {
+      ReferenceCountUtil.release(msg);
+    }
+  }
+
+  /** Fails what is written at the flush, then closes the channel, as Netty's sockets do. */
+  private static final class FailingTransport extends ChannelOutboundHandlerAdapter {
+    private final List<ChannelPromise> unflushed = new ArrayList<>();
+
+    @Override
+    public void write(ChannelHandlerContext ctx, Object msg, ChannelPromise promise) {
+      ReferenceCountUtil.release(msg);
+      unflushed.add(promise);
+    }
+
+    @Override
+    public void flush(ChannelHandlerContext ctx) {
+      unflushed.forEach(p -> p.tryFailure(new IOException("Connection reset by peer")));
+      ctx.close();
+    }
+  }
+
   /** Records the outcome of an exchange; reads a streamed body only when told to. */
   private static final class Recorder implements TargetExchangeListener {
     private String outcome = "";
--- a/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/internal/http/CallerServerTest.java
+++ b/org.pomelohollow.daemon/src/test/java/org/pomelohollow/daemon/internal/http/CallerServerTest.java
@@ -1,9 +1,15 @@
 package org.pomelohollow.daemon.internal.http;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
@@ -22,10 +28,12 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.condition.EnabledOnOs;
 import org.junit.jupiter.api.condition.OS;
+import org.pomelohollow.daemon.internal.io.BodyBudget;
 import org.pomelohollow.daemon.protocol.InboundRequest;
 import org.pomelohollow.daemon.protocol.SimpleResponses;
 import org.pomelohollow.daemon.settings.Settings;
 import org.pomelohollow.model.Endpoint;
+import reactor.core.publisher.Sinks;
 import reactor.netty.resources.LoopResources;
 
 class CallerServerTest {
@@ -49,6 +57,7 @@
           new Endpoint(LOOPBACK, 0),
           loops,
           Settings.Limits.DEFAULT,
+          new BodyBudget(1 << 30),
           () -> false,
           () -> {},
           this::receive);
@@ -88,6 +97,115 @@
     }
   }
 
+  /**
+   * A caller takes a response without {@code Connection: close} as leave to send its next request,
+   * which must not be discarded.
+   */
+  @Test
+  void aRequestBehindAStreamedResponseThatBeganBeforeTheDrainIsAnswered() throws Exception {
+    try (Socket s = connect()) {
+      send(s, REQUEST);
+      InboundRequest first = next();
+      Sinks.Many<ByteBuf> body = Sinks.many().unicast().onBackpressureBuffer();
+      onLoop(
+          () ->
+              first.respond(
+                  new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK),
+                  body.asFlux()));
+      assertFalse(readUntil(s, "\r\n\r\n").contains("close"));
+      onLoop(server::drain);
+      onLoop(body::tryEmitComplete);
+      readUntil(s, "0\r\n\r\n");
+      send(s, REQUEST);
+      InboundRequest second = next();
+      assertNotNull(second, "the request behind the streamed response was not handled");
+      onLoop(() -> second.respond(SimpleResponses.text(HttpResponseStatus.OK, "second")));
+      String all = new String(s.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+      assertTrue(all.contains("connection: close") && all.endsWith("second"), all);
+    }
+  }
+
+  @Test
+  void aConnectionWhoseStreamedResponseBeganBeforeTheDrainIsClosedIfNoRequestFollows()
+      throws Exception {
+    try (Socket s = connect()) {
+      send(s, REQUEST);
+      InboundRequest first = next();
+      Sinks.Many<ByteBuf> body = Sinks.many().unicast().onBackpressureBuffer();
+      onLoop(
+          () ->
+              first.respond(
+                  new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK),
+                  body.asFlux()));
+      onLoop(server::drain);
+      onLoop(body::tryEmitComplete);
+      String all = new String(s.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+      assertTrue(all.endsWith("0\r\n\r\n"), all);
+    }
+  }
+
+  /** Responses that the caller has not read yet stand in the write queue of the connection. */
+  @Test
+  void responsesThatAreNotWrittenYetReachTheirCallerAfterTheDrain() throws Exception {
+    int responses = 4;
+    String body = "b".repeat(4 << 20);
+    try (Socket s = connect()) {
+      send(s, REQUEST.repeat(responses));
+      for (int i = 0; i < responses; i++) {
+        InboundRequest r = next();
+        onLoop(() -> r.respond(SimpleResponses.text(HttpResponseStatus.OK, body)));
+      }
+      onLoop(server::drain);
+      onLoop(() -> assertFalse(server.isDrained()));
+      byte[] all = s.getInputStream().readAllBytes();
+      assertTrue(all.length > responses * body.length(), all.length + " bytes");
+    }
+    onLoop(() -> assertTrue(server.isDrained()));
+  }
+
+  /** Parts of a body that nobody reads paused the connection for good. */
+  @Test
+  void aRequestBehindALongBodyThatWasRefusedIsAnswered() throws Exception {
+    int length = 2 << 20;
+    try (Socket s = connect()) {
+      send(s, "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: " + length + "\r\n\r\n");
+      send(s, "b".repeat(length / 2));
+      InboundRequest first = next();
+      onLoop(() -> first.respond(SimpleResponses.empty(HttpResponseStatus.TOO_MANY_REQUESTS)));
+      send(s, "b".repeat(length / 2) + REQUEST);
+      assertNotNull(next(), "the request behind the body was not read");
+    }
+  }
+
+  /** The last response may have announced the end of the connection before the drain. */
+  @Test
+  void aLastResponseThatIsNotWrittenYetReachesItsCallerAfterTheDrain() throws Exception {
+    String body = "b".repeat(16 << 20);
+    try (Socket s = connect()) {
+      send(s, REQUEST.replace("Host", "Connection: close\r\nHost"));
+      InboundRequest r = next();
+      onLoop(() -> r.respond(SimpleResponses.text(HttpResponseStatus.OK, body)));
+      onLoop(server::drain);
+      assertTrue(s.getInputStream().readAllBytes().length > body.length());
+    }
+  }
+
+  /** Each response that a caller does not read takes memory until it is written. */
+  @Test
+  void requestsWaitWhileResponsesToEarlierOnesAreNotWritten() throws Exception {
+    String body = "b".repeat(1 << 20);
+    int inOneRead = 2 * PIPELINED;
+    try (Socket s = connect()) {
+      send(s, REQUEST.repeat(inOneRead));
+      for (int i = 0; i < inOneRead; i++) {
+        InboundRequest r = next();
+        onLoop(() -> r.respond(SimpleResponses.text(HttpResponseStatus.OK, body)));
+      }
+      send(s, REQUEST);
+      assertNull(received.poll(ARRIVAL_MILLIS, TimeUnit.MILLISECONDS));
+    }
+  }
+
   /** A connection that is closed with unread bytes is reset, which can destroy its responses. */
   @Test
   void aCallerWhoseLastBytesAreUnreadIsNotReset() throws Exception {
@@ -212,6 +330,16 @@
     s.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
   }
 
+  private static String readUntil(Socket s, String end) throws IOException {
+    StringBuilder all = new StringBuilder();
+    while (all.indexOf(end) < 0) {
+      int b = s.getInputStream().read();
+      assertTrue(b >= 0, "ended after " + all);
+      all.append((char) b);
+    }
+    return all.toString();
+  }
+
   private InboundRequest next() throws InterruptedException {
     return received.poll(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
   }
