Share the burst of an account between the sides of a partition

Cause: each side of a partition granted its share of the rate, but its home's bucket held the whole burst. An account that was idle when the partition began had it twice. Change: the bucket holds this side's share of the burst as well. Measured: HomeBucketRateLimiterTest.bothSides...WithinTheBurst, 681 grants in five seconds before, of 680 allowed; within it now.

--- a/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/rates/HomeBucketRateLimiterTest.java
+++ b/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/rates/HomeBucketRateLimiterTest.java
@@ -97,6 +97,19 @@
     assertWithinRate();
   }
 
+  /** Guards against a whole burst on each side of a partition in which the account was idle. */
+  @Test
+  void bothSidesOfANetworkPartitionTogetherStayWithinTheBurst() {
+    startAll();
+    run(2_000, 0.1 * RATE, id -> true);
+    List<MemberId> all = List.copyOf(daemons.keySet());
+    partitionSide = Optional.of(Set.copyOf(all.subList(0, 3)));
+    publishRosters();
+    run(8_000, 0.1 * RATE, id -> true);
+    run(6_000, 8 * RATE, id -> true);
+    assertWithinRate();
+  }
+
   @Test
   void afterARestartOfAllDaemonsTheAccountIsServedAtOnce() {
     startAll();
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/rates/HomeBucketRateLimiter.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/rates/HomeBucketRateLimiter.java
@@ -178,7 +178,12 @@
 
   private TokenBucket newBucket(AccountEntry e, long nowNanos) {
     double rate = e.ratePerSecond() * fleetSize.reachedShare();
-    return new TokenBucket(rate, e.burst(), 1 + rate * INITIAL_TOKENS_SECONDS, nowNanos);
+    return new TokenBucket(rate, capacity(e), 1 + rate * INITIAL_TOKENS_SECONDS, nowNanos);
+  }
+
+  /** Returns this side's share of the burst, since each side of a partition has a home. */
+  private double capacity(AccountEntry e) {
+    return Math.max(1, e.burst() * fleetSize.reachedShare());
   }
 
   private AccountTokens newTokens(AccountEntry e, long nowNanos) {
@@ -194,7 +199,7 @@
     ownBuckets.forEach(
         (a, b) -> {
           AccountEntry e = accounts.get(a);
-          b.resize(e.ratePerSecond() * fleetSize.reachedShare(), e.burst(), nowNanos);
+          b.resize(e.ratePerSecond() * fleetSize.reachedShare(), capacity(e), nowNanos);
         });
     tokensByAccount.forEach((a, t) -> t.setFallbackRate(fallbackRate(accounts.get(a)), nowNanos));
   }
