Fill the bucket of an account from the moment its home is known

Cause: the home creates a bucket at the account's first request, almost empty. It is almost empty because another home may have granted tokens just before; that home can't have granted any since this one is the home. Change: a bucket starts with what it would hold, had it been created when the set of possible homes last changed.

--- a/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/rates/HomeBucketRateLimiterTest.java
+++ b/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/rates/HomeBucketRateLimiterTest.java
@@ -110,6 +110,17 @@
     assertWithinRate();
   }
 
+  /** Guards against refusals of the first requests of an account, long after the start. */
+  @Test
+  void anAccountThatIsFirstUsedLongAfterTheStartHasItsBurst() {
+    startAll();
+    nowNanos += 5_000 * NANOS_PER_MILLI;
+    run(500, 2 * RATE, id -> true);
+    assertTrue(refusals == 0, refusals + " refused of " + grantNanos.size());
+    run(6_000, 3 * RATE, id -> true);
+    assertWithinRate();
+  }
+
   @Test
   void afterARestartOfAllDaemonsTheAccountIsServedAtOnce() {
     startAll();
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/rates/HomeBucketRateLimiter.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/rates/HomeBucketRateLimiter.java
@@ -4,8 +4,10 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.pomelohollow.decision.Effect;
 import org.pomelohollow.decision.EffectSink;
 import org.pomelohollow.decision.Event;
@@ -30,7 +32,8 @@
  * reach, so that all sides of a network partition together stay within the rate. While the home
  * does not reply, a daemon grants requests at a fraction of its even share of the rate.
  *
- * <p>A new home starts with an almost empty bucket. Two daemons can both consider themselves the
+ * <p>A new home starts with an almost empty bucket, which fills from the moment at which it became
+ * the home, whether or not the account is in use then. Two daemons can both consider themselves the
  * home only while their rosters differ. The excess that is granted in that time, at most the rate
  * times its duration, has to fit in the tolerance of the bound.
  */
@@ -48,6 +51,8 @@
   /** Initial content of a new home's bucket, as time at its rate. */
   private static final double INITIAL_TOKENS_SECONDS = 0.1;
 
+  private static final double NANOS_PER_SECOND = 1e9;
+
   private final MemberId self;
   private final EffectSink effects;
   private final FleetSizeEstimator fleetSize = new FleetSizeEstimator();
@@ -56,6 +61,11 @@
   private final Map<AccountId, AccountTokens> tokensByAccount = new HashMap<>();
   private Map<AccountId, AccountEntry> accounts = Map.of();
   private Optional<Roster> roster = Optional.empty();
+
+  /** Hosts that can be homes, and the time since when they have been the same. */
+  private Set<MemberId> hosts = Set.of();
+
+  private long hostsSinceNanos = Long.MIN_VALUE;
   private long lastSequence;
 
   /**
@@ -94,6 +104,7 @@
     } else if (event instanceof Event.ProcessResumed) {
       // Another daemon may have become the home, and tokens may have outlived their time.
       ownBuckets.clear();
+      hostsSinceNanos = nowNanos;
       tokensByAccount.values().forEach(AccountTokens::dropHeldTokens);
     } else if (event instanceof Event.MessageReceived m) {
       onMessage(m, nowNanos);
@@ -104,6 +115,7 @@
       roster = Optional.of(c.roster());
       homeByAccount.clear();
       fleetSize.applyRoster(c.roster(), nowNanos);
+      updateHosts(c.roster(), nowNanos);
       updateRates(nowNanos);
     } else if (event instanceof Event.ConfigActivated c) {
       accounts = c.configuration().document().accounts();
@@ -159,6 +171,18 @@
     }
   }
 
+  private void updateHosts(Roster r, long nowNanos) {
+    Set<MemberId> current =
+        r.members().stream()
+            .filter(m -> !m.leaving())
+            .map(Member::id)
+            .collect(Collectors.toSet());
+    if (!current.equals(hosts)) {
+      hosts = current;
+      hostsSinceNanos = nowNanos;
+    }
+  }
+
   private Optional<MemberId> home(AccountId a) {
     return homeByAccount.computeIfAbsent(a, this::chooseHome);
   }
@@ -178,7 +202,9 @@
 
   private TokenBucket newBucket(AccountEntry e, long nowNanos) {
     double rate = e.ratePerSecond() * fleetSize.reachedShare();
-    return new TokenBucket(rate, capacity(e), 1 + rate * INITIAL_TOKENS_SECONDS, nowNanos);
+    double homeSeconds = (nowNanos - hostsSinceNanos) / NANOS_PER_SECOND;
+    return new TokenBucket(
+        rate, capacity(e), 1 + rate * (INITIAL_TOKENS_SECONDS + homeSeconds), nowNanos);
   }
 
   /** Returns this side's share of the burst, since each side of a partition has a home. */
