--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/rates/HomeBucketRateLimiter.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/rates/HomeBucketRateLimiter.java
@@ -173,10 +173,7 @@
 
   private void updateHosts(Roster r, long nowNanos) {
     Set<MemberId> current =
-        r.members().stream()
-            .filter(m -> !m.leaving())
-            .map(Member::id)
-            .collect(Collectors.toSet());
+        r.members().stream().filter(m -> !m.leaving()).map(Member::id).collect(Collectors.toSet());
     if (!current.equals(hosts)) {
       hosts = current;
       hostsSinceNanos = nowNanos;
