Advertise less of a target that fails many requests

Cause: entry daemons leave a target after five lost attempts in a row only; a failure as response, or a deadline that passes, does not count. Change: the target's daemon, which sees all of its requests, advertises an eighth of the limit while the target fails a quarter of the last 32, or most requests are four times slower than usual, for a second, then two, up to eight. Only once the target has reported a slowdown.

--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/Daemon.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/Daemon.java
@@ -250,6 +250,7 @@
         () -> node.shares().sharedServices(System.nanoTime()),
         node.shares()::refusedCount,
         () -> node.config().configAgeMillis(System.nanoTime()));
+    metrics.registerTargetFailing(node.admission()::isTargetFailing);
     metrics.registerRollouts(node.rollouts());
     handle(new Event.RosterChanged(node.membership().roster()));
     logPump.start();
--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/DaemonMetrics.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/DaemonMetrics.java
@@ -65,6 +65,15 @@
     registerGauge("pomelohollow.config.age.milliseconds", configAge);
   }
 
+  /**
+   * Registers the gauge of a target that fails many requests.
+   *
+   * @param failing whether it does
+   */
+  void registerTargetFailing(Supplier<Boolean> failing) {
+    registerGauge("pomelohollow.target.failing", () -> failing.get() ? 1 : 0);
+  }
+
   /**
    * Registers the metrics of version upgrades.
    *
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionController.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionController.java
@@ -229,6 +229,29 @@
     return notable;
   }
 
+  /**
+   * Records how the target answered a request, to advertise less of a target that fails many.
+   *
+   * @param completion how the request ended
+   * @param failure whether its response is a failure
+   * @param nowNanos current monotonic time, in nanoseconds
+   */
+  public void recordTargetResult(Completion completion, boolean failure, long nowNanos) {
+    boolean shedWithFreeSlots =
+        completion == Completion.SHED && 2 * inFlight() < targetLimit.limit();
+    switch (completion) {
+      case RESPONDED -> targetLimit.recordResult(failure, nowNanos);
+      case FAILED, TIMED_OUT -> targetLimit.recordResult(true, nowNanos);
+      case SHED -> targetLimit.recordResult(shedWithFreeSlots, nowNanos);
+      default -> {} // A caller that left says nothing of the target.
+    }
+  }
+
+  /** Returns whether the target fails many requests, so that entry daemons prefer others. */
+  public boolean isTargetFailing() {
+    return targetLimit.isFailing(latestNanos);
+  }
+
   /** Describes the load that the target last reported. */
   public String describeTargetReport(long nowNanos) {
     return targetLimit.reportedLoad().describe(nowNanos);
@@ -275,6 +298,7 @@
         .line("cold", targetLimit.isCold(nowNanos))
         .line("limit", targetLimit.limit())
         .line("notice", notices().current())
+        .line("failing", isTargetFailing())
         .line("reported load", describeTargetReport(nowNanos))
         .line("in flight", inFlight())
         .line("large transfers in flight", slots.bulkInFlight())
@@ -391,7 +415,7 @@
             .filter(t -> targetLimit.isFarSlower(t.context().route(), t.selfTimeNanos(nowNanos)))
             .count();
     if (slow >= Math.max(MIN_STALLED_REQUESTS, running.size() / 2)) {
-      targetLimit.restartAfterStall();
+      targetLimit.recordStall(nowNanos);
     }
   }
 
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/TargetLimit.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/TargetLimit.java
@@ -26,6 +26,9 @@
 
   private static final int MIN_QUEUE_BOUND = 8;
 
+  /** Divisor of the advertised limit of a target that fails many requests. */
+  private static final int FAILING_DIVISOR = 8;
+
   /** Divisor of the advertised limit of a target that is cold and has no cold-start limit. */
   private static final int UNLIMITED_COLD_DIVISOR = 2;
 
@@ -34,6 +37,7 @@
   private final ColdStartLimit coldStart = new ColdStartLimit();
   private final LatencyJumpDetector latencyJump = new LatencyJumpDetector();
   private final TargetNotices notices = new TargetNotices();
+  private final TargetFailureDetector failures = new TargetFailureDetector();
   private final ReportedLoadTracker reportedLoad = new ReportedLoadTracker();
   private int foreignSlots;
   private Optional<TargetAnnouncement> announcement = Optional.empty();
@@ -41,6 +45,7 @@
   private Optional<ColdRateLimiter> coldRateLimiter = Optional.empty();
   private Optional<ColdStartRate> coldRate = Optional.empty();
   private long announcedNanos;
+  private boolean hasReportedSlowdown;
 
   TargetLimit(LimitAlgorithm algorithm, double slotShare) {
     this.algorithm = algorithm;
@@ -143,6 +148,11 @@
 
   /** Returns the limit to advertise to peers, which reflects the request rates of the target. */
   int advertisedLimit(long nowNanos) {
+    int n = advertisedLimitIfSound(nowNanos);
+    return failures.isFailing(nowNanos) ? Math.max(1, n / FAILING_DIVISOR) : n;
+  }
+
+  private int advertisedLimitIfSound(long nowNanos) {
     if (coldRateLimiter.isPresent() && coldRateLimiter.get().isCold(nowNanos)) {
       return Math.min(coldRateLimiter.get().equivalentLimit(), rateBoundLimit());
     }
@@ -180,6 +190,10 @@
         sameIncarnation && nowNanos - announcedNanos <= MAX_ANNOUNCEMENT_GAP_NANOS;
     notices.setTarget(a.incarnation());
     reportedLoad.setTarget(a.incarnation());
+    if (!sameIncarnation) {
+      failures.reset();
+      hasReportedSlowdown = false;
+    }
     announcement = Optional.of(a);
     announcedNanos = nowNanos;
     updateCeiling();
@@ -202,13 +216,41 @@
     restartColdStart();
   }
 
-  /** Restarts the cold start because many running requests are far slower than their routes. */
-  void restartAfterStall() {
+  /** Acts on many running requests that are far slower than their routes. */
+  void recordStall(long nowNanos) {
     if (hasColdStartLimit()) {
       restartColdStart();
+    } else if (detectsFailures(nowNanos)) {
+      failures.recordStall(nowNanos);
+    }
+  }
+
+  /**
+   * Records whether the target failed a request.
+   *
+   * @param failed whether it failed
+   * @param nowNanos current monotonic time, in nanoseconds
+   */
+  void recordResult(boolean failed, long nowNanos) {
+    if (detectsFailures(nowNanos)) {
+      failures.recordEnd(failed, nowNanos);
     }
   }
 
+  /** Returns whether the target fails many requests, so that others are preferred. */
+  boolean isFailing(long nowNanos) {
+    return failures.isFailing(nowNanos);
+  }
+
+  /**
+   * Returns whether the target has reported a slowdown since its start. Targets of deployments
+   * where none does are chosen as before; one that has stopped responding reports none any more.
+   */
+  private boolean detectsFailures(long nowNanos) {
+    hasReportedSlowdown |= reportedLoad.slowdown(nowNanos) > 0;
+    return hasReportedSlowdown;
+  }
+
   /** Returns whether a self time is far above the mean of its route. */
   boolean isFarSlower(String route, long selfTimeNanos) {
     return latencyJump.isSlow(route, selfTimeNanos);
@@ -223,6 +265,11 @@
     }
     if (!hasColdStartLimit()) {
       algorithm.onSample(s, nowNanos);
+      if (hasLatency
+          && detectsFailures(nowNanos)
+          && latencyJump.addSample(t.context().route(), s.selfTimeNanos())) {
+        failures.recordStall(nowNanos);
+      }
     } else if (hasLatency && latencyJump.addSample(t.context().route(), s.selfTimeNanos())) {
       restartColdStart();
     } else if (coldStart.isCold()) {
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/guard/GuardedRequest.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/guard/GuardedRequest.java
@@ -202,6 +202,7 @@
     state = State.ENDED;
     deps.runningRequests().unregister(context);
     deps.observer().ended(this, c, targetFailure, nowNanos);
+    deps.admission().recordTargetResult(c, targetFailure, nowNanos);
     claimId.ifPresent(id -> deps.claims().reportOutcome(id, claimState, response, nowNanos));
     releaseSlot(c, nowNanos);
     releaseNextSuspect(nowNanos);
