Count only callers' requests as estimated ones in the queue of a target

Calls of running requests have their parent's account, so the account took them for callers' requests: the queue of the deepest service could be four times as long, and its requests counted 3/8 in the pressure, although calls are never refused by the estimate. Count root requests with an account.

EstimatedWaitTest gives its calls an account.

--- a/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/admission/EstimatedWaitTest.java
+++ b/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/admission/EstimatedWaitTest.java
@@ -44,7 +44,7 @@
   @Test
   void requestsWaitAThirdOfTheObjectiveAndTheRestIsRefusedOnArrival() {
     AdmissionController a = admission(true);
-    List<Boolean> refused = offer(a, 60, Optional.of("acc"));
+    List<Boolean> refused = offer(a, 60, 0);
     // 10 run; 10 slots of 100 ms take 40 requests in a third of 1,200 ms.
     assertEquals(9, refused.stream().filter(r -> r).count());
     assertEquals(41, a.load().queued());
@@ -59,15 +59,29 @@
   @Test
   void callsOfTargetsAreNotRefusedByTheEstimate() {
     AdmissionController a = admission(true);
-    assertEquals(0, offer(a, 20, Optional.empty()).stream().filter(r -> r).count());
+    assertEquals(0, offer(a, 20, 1).stream().filter(r -> r).count());
     assertEquals(10, a.load().queued());
   }
 
+  /** Guards against calls, which have their parent's account, that get the longer queue. */
+  @Test
+  void callsOfTargetsGetNoLongerQueueWhereWaitsAreEstimated() {
+    AdmissionController a = admission(true);
+    assertEquals(10, offer(a, 30, 1).stream().filter(r -> r).count());
+    assertEquals(10, a.load().queued());
+  }
+
+  /** Guards against calls that count less than fully in the pressure. */
+  @Test
+  void queuedCallsCountFullyInThePressure() {
+    assertEquals(pressureAfterBurst(false, 1), pressureAfterBurst(true, 1));
+  }
+
   @Test
   void theBoundIsAnEighthWhereTargetsReportNoSlowdown() {
     AdmissionController a = admission(false);
-    assertEquals(0, offer(a, 20, Optional.of("acc")).stream().filter(r -> r).count());
-    assertEquals(10, offer(a, 10, Optional.of("acc")).stream().filter(r -> r).count());
+    assertEquals(0, offer(a, 20, 0).stream().filter(r -> r).count());
+    assertEquals(10, offer(a, 10, 0).stream().filter(r -> r).count());
     now += 151 * MILLI;
     a.handle(new Event.Tick(), now);
     assertEquals(0, a.load().queued());
@@ -75,12 +89,12 @@
 
   @Test
   void pressureRisesLessWhileAQueueIsAllowed() {
-    assertTrue(pressureAfterBurst(true) < 0.75 * pressureAfterBurst(false));
+    assertTrue(pressureAfterBurst(true, 0) < 0.75 * pressureAfterBurst(false, 0));
   }
 
-  private double pressureAfterBurst(boolean scarce) {
+  private double pressureAfterBurst(boolean scarce, int depth) {
     AdmissionController a = admission(scarce);
-    offer(a, 20, Optional.of("acc"));
+    offer(a, 20, depth);
     now += 110 * MILLI;
     a.handle(new Event.Tick(), now);
     return a.load("r").pressure();
@@ -108,38 +122,38 @@
         now);
     a.handle(new Event.ConfigActivated(new VersionedDocument(1, "c", "", d)), now);
     for (int i = 0; i < 10; i++) {
-      Ticket t = a.offer(context(Optional.of("acc")), false, new Outcome(), now);
+      Ticket t = a.offer(context(0), false, new Outcome(), now);
       now += HELD_NANOS;
       a.complete(t, Completion.RESPONDED, now);
     }
     return a;
   }
 
-  private List<Boolean> offer(AdmissionController a, int count, Optional<String> account) {
+  private List<Boolean> offer(AdmissionController a, int count, int depth) {
     List<Outcome> outcomes = new ArrayList<>();
     for (int i = 0; i < count; i++) {
       Outcome o = new Outcome();
       outcomes.add(o);
-      a.offer(context(account), false, o, now);
+      a.offer(context(depth), false, o, now);
     }
     return outcomes.stream().map(o -> o.refused).toList();
   }
 
-  private RequestContext context(Optional<String> account) {
+  private RequestContext context(int depth) {
     String id = "r" + offered++;
     return new RequestContext(
         id,
         id,
         SERVICE,
-        account.isPresent() ? "r" : "calls",
-        account.map(AccountId::new),
+        depth == 0 ? "r" : "calls",
+        Optional.of(new AccountId("acc")),
         new Priority(0),
         now + 60_000 * MILLI,
         true,
         Optional.empty(),
         0,
         0,
-        0);
+        depth);
   }
 
   private static RouteEntry route(String name, boolean open) {
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionQueue.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionQueue.java
@@ -22,7 +22,7 @@
   private final ToDoubleFunction<Ticket> weightOf;
   private final List<FairQueue> queuesByRank = new ArrayList<>();
   private int size;
-  private int accountSize;
+  private int estimableSize;
 
   /**
    * Creates an empty queue.
@@ -47,13 +47,13 @@
    * @param estimated whether the waits of callers' requests are estimated; more of them may wait
    */
   boolean isWithin(int bound, boolean estimated) {
-    int counted = estimated ? size - accountSize + accountSize / ESTIMATED_LENGTH_FACTOR : size;
+    int counted = estimated ? size - estimableSize + estimableSize / ESTIMATED_LENGTH_FACTOR : size;
     return counted <= bound;
   }
 
-  /** Returns the number of queued requests that are charged to an account: callers' requests. */
-  int accountSize() {
-    return accountSize;
+  /** Returns the number of queued requests whose waits may be estimated: callers' requests. */
+  int estimableSize() {
+    return estimableSize;
   }
 
   /** Returns the number of queued requests of a priority and of all more important ones. */
@@ -64,7 +64,7 @@
   void add(Ticket t) {
     queue(t).add(t, weightOf.applyAsDouble(t));
     size++;
-    accountSize += accountCount(t);
+    estimableSize += estimableCount(t);
   }
 
   Optional<Ticket> peek() {
@@ -74,7 +74,7 @@
   Ticket poll() {
     Ticket t = firstNonEmptyQueue().poll();
     size--;
-    accountSize -= accountCount(t);
+    estimableSize -= estimableCount(t);
     return t;
   }
 
@@ -92,7 +92,7 @@
     boolean removed = queue(t).remove(t);
     if (removed) {
       size--;
-      accountSize -= accountCount(t);
+      estimableSize -= estimableCount(t);
     }
     return removed;
   }
@@ -104,7 +104,7 @@
     List<Ticket> out = new ArrayList<>();
     queuesByRank.forEach(q -> out.addAll(q.removeIf(p)));
     size -= out.size();
-    out.forEach(t -> accountSize -= accountCount(t));
+    out.forEach(t -> estimableSize -= estimableCount(t));
     return out;
   }
 
@@ -116,8 +116,8 @@
     queuesByRank.forEach(FairQueue::removeIdleAccounts);
   }
 
-  private static int accountCount(Ticket t) {
-    return t.context().account().isPresent() ? 1 : 0;
+  private static int estimableCount(Ticket t) {
+    return t.isCallersRequest() ? 1 : 0;
   }
 
   private FairQueue firstNonEmptyQueue() {
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionQueues.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionQueues.java
@@ -43,7 +43,7 @@
    * @param estimated whether the waits of callers' short requests are estimated
    */
   double pressingSize(boolean estimated) {
-    return estimated ? size() - (1 - ESTIMATED_WEIGHT) * shortRequests.accountSize() : size();
+    return estimated ? size() - (1 - ESTIMATED_WEIGHT) * shortRequests.estimableSize() : size();
   }
 
   int shortSize() {
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/Ticket.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/Ticket.java
@@ -34,6 +34,14 @@
     return bulk;
   }
 
+  /**
+   * Returns whether a caller sent the request with its key. Calls of running requests have their
+   * parent's account, so the account alone does not tell.
+   */
+  boolean isCallersRequest() {
+    return context.isRoot() && context.account().isPresent();
+  }
+
   /** Returns when the request arrived, in nanoseconds of the monotonic clock. */
   public long arrivedNanos() {
     return arrivedNanos;
