Let the trust in a target's mean latency end where no response renews it

The mean changes only with responses, so a target whose first response to an entry was several times too late lost each comparison and stayed without requests for good. After 1 s without a response from one of two candidates, their means approach each other with a time constant of 1 s. The utilization counts the request itself again, so that an idle target with one slot no longer ties with one of 50.

Two new tests of ReportedSlowdownRoutingTest failed before and pass. A trial with a decay from the response on, time constant 2 s, failed afterASecondWithoutAReportTheRouterIsAsWithoutSlowdowns; hence the first second of full trust. 53 tests of routing, slow hosts and FleetTest pass.

--- a/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/routing/ReportedSlowdownRoutingTest.java
+++ b/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/routing/ReportedSlowdownRoutingTest.java
@@ -112,6 +112,30 @@
     assertEquals(1, chosen());
   }
 
+  /** Guards against a target that gets nothing for good because its first response was late. */
+  @Example
+  void aTargetWhoseFirstResponseWasLateIsSampledAgain() {
+    respond(0, 5 * USUAL_NANOS, 0, 1);
+    respond(1, USUAL_NANOS, LIMIT / 2, 1);
+    assertEquals(1, chosen());
+    for (int i = 0; i < 60; i++) {
+      respond(1, USUAL_NANOS, LIMIT / 2, 1);
+      clock.advance(Duration.ofMillis(100));
+    }
+    assertEquals(0, chosen());
+  }
+
+  /** Guards against a target with one slot that gets as much as one with many. */
+  @Example
+  void anIdleTargetWithOneSlotIsChosenAfterOneWithMany() {
+    Member large = members.get(1);
+    List<Member> unequal = List.of(member(0, 1), member(1, 50));
+    router.handle(new Event.RosterChanged(Roster.of(large.id(), unequal)), now());
+    respond(0, USUAL_NANOS, 0, 1);
+    respond(1, USUAL_NANOS, 0, 1);
+    assertEquals(1, chosen());
+  }
+
   /** Guards against changes where no target reports a slowdown: cost as before it was known. */
   @Property(seed = "7", tries = 1_000)
   void withoutSlowdownsTheChoiceIsByUtilizationTimesLatency(@ForAll long seed) {
@@ -153,7 +177,11 @@
   }
 
   private Member member(int i) {
-    TargetState s = new TargetState(SERVICE, LIMIT, LIMIT, false, false);
+    return member(i, LIMIT);
+  }
+
+  private Member member(int i, int limit) {
+    TargetState s = new TargetState(SERVICE, limit, limit, false, false);
     return new Member(
         new MemberId("h" + i, 1), new Endpoint("127.0.0.1", 1), ZONE, Optional.of(s), false);
   }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/routing/MemberStats.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/routing/MemberStats.java
@@ -14,6 +14,18 @@
   /** Weight of the newest response in the mean latency. */
   private static final double LATENCY_SMOOTHING = 0.1;
 
+  /**
+   * Time without a response for which a mean latency is fully trusted; pairs of entry and target
+   * that exchange a request each second keep what they know.
+   */
+  private static final long LATENCY_VALID_NANOS = 1_000_000_000L;
+
+  /**
+   * Time constant of the trust after that. A member whose mean is too high loses every comparison
+   * and would get no response that corrects it.
+   */
+  private static final double LATENCY_TRUST_NANOS = 1e9;
+
   private static final int FAILURES_TO_EJECT = 5;
 
   /** Duration of the first ejection; each further one lasts twice as long, up to a bound. */
@@ -30,6 +42,9 @@
   /** Mean of the latencies, each divided by the slowdown that was reported with it. */
   private double usualLatencyNanos;
 
+  /** Time of the last complete response; valid if there is a mean latency. */
+  private long respondedNanos;
+
   private int consecutiveFailures;
   private int ejections;
   private long ejectedUntilNanos = Long.MIN_VALUE;
@@ -64,6 +79,7 @@
     if (result.outcome() == AttemptResult.Outcome.RESPONDED) {
       consecutiveFailures = 0;
       addLatency(result);
+      respondedNanos = nowNanos;
     } else if (result.outcome() == AttemptResult.Outcome.LOST || isUnreachable(result)) {
       consecutiveFailures++;
     }
@@ -115,19 +131,22 @@
   }
 
   /**
-   * Returns the expected time to completion of one more request: the work ahead over the limit plus
-   * one, times the mean time at the usual speed, times the slowdown now.
+   * Returns the expected time to completion of one more request, for the comparison with another
+   * member: the utilization after it plus one, times the mean time at the usual speed, times the
+   * slowdown now. The mean times of both decay towards each other with the age of the older one.
    *
-   * @return the time in nanoseconds, 0 without a response so far
+   * @return the time in nanoseconds; as a multiple of the mean time if one of the two is unknown
    */
-  double expectedCompletionNanos(Member m, long nowNanos) {
-    return relativeCompletion(m, nowNanos) * usualLatencyNanos;
-  }
-
-  /** Returns the expected time to completion over the mean time at the usual speed. */
-  double relativeCompletion(Member m, long nowNanos) {
+  double expectedCompletionNanos(Member m, MemberStats other, long nowNanos) {
     double slowdown = slowdown(nowNanos);
-    return (utilization(m, nowNanos) + 1) * (slowdown > 0 ? slowdown : 1);
+    double relative = (nextUtilization(m, nowNanos) + 1) * (slowdown > 0 ? slowdown : 1);
+    if (usualLatencyNanos == 0 || other.usualLatencyNanos == 0) {
+      return relative;
+    }
+    long ageNanos = nowNanos - Math.min(respondedNanos, other.respondedNanos);
+    double trust = Math.exp(-Math.max(0, ageNanos - LATENCY_VALID_NANOS) / LATENCY_TRUST_NANOS);
+    double middleNanos = (usualLatencyNanos + other.usualLatencyNanos) / 2;
+    return relative * (middleNanos + trust * (usualLatencyNanos - middleNanos));
   }
 
   /** Returns the slowdown, which decays towards 1 with the age of the load report; 0 if unknown. */
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/routing/Router.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/routing/Router.java
@@ -373,14 +373,14 @@
 
   /** Returns the member that is expected to complete a request sooner. */
   private Member soonerDone(Member first, Member second, long nowNanos) {
-    boolean timed = stats(first).latencyNanos() > 0 && stats(second).latencyNanos() > 0;
-    ToDoubleFunction<Member> cost =
-        m ->
-            (timed
-                    ? stats(m).expectedCompletionNanos(m, nowNanos)
-                    : stats(m).relativeCompletion(m, nowNanos))
-                / zoneRampUp.weight(m.zone(), nowNanos);
-    return cost.applyAsDouble(first) <= cost.applyAsDouble(second) ? first : second;
+    return completionCost(first, second, nowNanos) <= completionCost(second, first, nowNanos)
+        ? first
+        : second;
+  }
+
+  private double completionCost(Member m, Member other, long nowNanos) {
+    return stats(m).expectedCompletionNanos(m, stats(other), nowNanos)
+        / zoneRampUp.weight(m.zone(), nowNanos);
   }
 
   private double weightedNextUtilization(Member m, long nowNanos) {
