Let requests leave a full target whose zone is silent or far fuller

A full target at home whose zone had no recent load report kept first attempts for ever, and so did one with a queue of three times its slots while the targets elsewhere were full without a queue, since those had no room. Without a recent report of the target or its zone all leave, as for refused ones; and where all are full, requests leave with the share by which home is busier, above a ratio of 1.5.

--- a/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/routing/ZoneSpillTest.java
+++ b/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/routing/ZoneSpillTest.java
@@ -111,6 +111,30 @@
     assertEquals(CHOICES, leaving(pick(1), pick(0.3), 0));
   }
 
+  /** Guards against first attempts that stay at a full target because nothing reports at home. */
+  @Example
+  void requestsAtAFullTargetLeaveWithoutReportsOfTargetOrZone() {
+    update(1, 0.5, 0.3);
+    ZonePolicy.Pick silent = new ZonePolicy.Pick(1.2, 1.25, 1.25 * WORK_NANOS, false);
+    assertEquals(CHOICES, leaving(silent, pick(0.3), 0));
+    assertEquals(0, leaving(pick(1.2), pick(0.3), 0));
+    clock.advance(Duration.ofMillis(100));
+    ZonePolicy.ZoneLoad unknown = new ZonePolicy.ZoneLoad(new ZoneId("z0"), 100, 0, 0, false);
+    spill.update(SERVICE, unknown, others(0.3, WORK_NANOS), clock.getAsLong());
+    assertEquals(CHOICES, leaving(pick(1.2), pick(0.3), 0));
+  }
+
+  /** Guards against a zone that keeps an excess of three times its slots beside shorter queues. */
+  @Example
+  void mostOfTheExcessLeavesForZonesThatAreFullButLessSo() {
+    update(10, 3, 1);
+    int n = leaving(pick(3), pick(1), 0);
+    assertTrue(n > 0.5 * CHOICES && n < 0.75 * CHOICES, () -> "leaving " + n);
+    assertEquals(0, leaving(pick(1), pick(3), 0));
+    update(10, 1.4, 1.3);
+    assertEquals(0, leaving(pick(3), pick(1), 0));
+  }
+
   /** Guards against bodies that cost more than the wait that they avoid. */
   @Example
   void aLongBodyStaysWhereAShortOneLeaves() {
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/routing/ZoneSpill.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/routing/ZoneSpill.java
@@ -55,6 +55,12 @@
    */
   private static final double CLEARLY_SLOWER = 1.5;
 
+  /**
+   * Factor by which the own zone and target must be busier to send requests to full ones elsewhere.
+   * It is a dead band: two zones cannot both be this much fuller.
+   */
+  private static final double CLEARLY_FULLER = 1.5;
+
   /** Utilization after one more request up to which a target of another zone has room. */
   private static final double ROOM = 0.9;
 
@@ -147,7 +153,7 @@
     Pick own = c.own();
     Pick other = c.other();
     if (!hasRoom(c) || other.utilization() >= own.utilization()) {
-      return c.retry() && own.isFull() && !other.isFull();
+      return (c.retry() && own.isFull() && !other.isFull()) || leavesLongerQueue(c);
     }
     double share = own.isFull() ? shareOfFull(c) : share(c.service());
     if (random.nextDouble() >= share) {
@@ -254,14 +260,34 @@
   /**
    * Returns the share of the requests that leave among those whose target in the own zone has no
    * free slot. One such target says little while the zone has free slots; with none, all leave. So
-   * do those that a target has refused, which would be refused for good next.
+   * do those that a target has refused, which would be refused for good next, and those of which
+   * the target or the zone has no recent report: nothing tells of free slots at home.
    */
   private double shareOfFull(Choice c) {
-    if (c.retry() || c.bestInOwnZone()) {
+    Spill s = spills.get(c.service());
+    if (c.retry() || c.bestInOwnZone() || !c.own().reported() || s == null || !s.own.reported()) {
       return 1;
     }
+    return Math.max(s.share, (s.own.utilization() - FULL) / (1 - FULL));
+  }
+
+  /**
+   * Returns whether a request leaves although no zone has room, because the queues at home are
+   * clearly longer. The share that leaves is that of the requests at home beyond the load outside,
+   * so it ends before the loads are equal and zones do not exchange requests.
+   */
+  private boolean leavesLongerQueue(Choice c) {
+    Pick own = c.own();
+    Pick other = c.other();
     Spill s = spills.get(c.service());
-    return s == null ? 0 : Math.max(s.share, (s.own.utilization() - FULL) / (1 - FULL));
+    return s != null
+        && own.isFull()
+        && own.reported()
+        && other.reported()
+        && own.utilization() > CLEARLY_FULLER * other.nextUtilization()
+        && s.own.utilization() > CLEARLY_FULLER * Math.max(1, s.othersUtilization())
+        && random.nextDouble() < 1 - other.utilization() / own.utilization()
+        && other.completionNanos() + CrossingCost.nanos(c.bodyBytes()) < own.completionNanos();
   }
 
   private static double freeSlots(ZoneLoad z) {
@@ -285,6 +311,17 @@
       return others.stream().mapToDouble(ZoneSpill::freeSlots).sum();
     }
 
+    /** Returns the mean utilization of the zones that report, weighted by slots. */
+    double othersUtilization() {
+      double slots = 0;
+      double used = 0;
+      for (ZoneLoad z : others) {
+        slots += z.reported() ? z.slots() : 0;
+        used += z.reported() ? z.slots() * z.utilization() : 0;
+      }
+      return slots > 0 ? used / slots : 0;
+    }
+
     /**
      * Raises the share towards the one at which the own zone's utilization is the aim. The requests
      * of one interval change the utilization by the interval over the time that a request takes; so
