Judge deadlines at the speed of a host that is faster than usual

The mean time of a route is at the usual speed, since samples are divided by the slowdown, but the time left was compared with it unscaled. A slowdown far below 1 thus refused, as DEADLINE_EXCEEDED, what could be done. The mean is now multiplied by the lesser of 1 and the slowdown, and slowdowns below 0.25 count as 0.25, which bounds the effect of a wrong figure.

--- a/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/admission/ReportedLoadAdmissionTest.java
+++ b/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/admission/ReportedLoadAdmissionTest.java
@@ -127,6 +127,31 @@
     assertEquals(ErrorCode.DEADLINE_EXCEEDED, refusals.get(0).code());
   }
 
+  /** Guards against requests that a host faster than usual could do, refused for good. */
+  @Test
+  void aDeadlineThatAFastHostCanMeetIsNotRefused() {
+    learnServiceTime(1);
+    report(0, 0.4);
+    offer(USUAL_MILLIS / 4);
+    assertEquals(List.of(), refusals);
+  }
+
+  /**
+   * Guards against a wrong figure of 1 percent, by which usual times look a hundred times longer.
+   */
+  @Test
+  void aSlowdownFarBelowOneRefusesNothingThatCanBeDone() {
+    for (int i = 0; i < 20; i++) {
+      offer(5_000);
+      clock.advance(Duration.ofMillis(USUAL_MILLIS));
+      report(1, 0.01);
+      admission.complete(admitted.remove(0), Completion.RESPONDED, now());
+    }
+    assertEquals(ReportedLoad.MIN_SLOWDOWN, admission.load().slowdown());
+    offer(SHORT_MILLIS);
+    assertEquals(List.of(), refusals);
+  }
+
   @Test
   void withoutTheFourthFigureLimitAndDeadlinesAreAsBefore() {
     learnServiceTime(1);
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/ReportedLoadTracker.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/ReportedLoadTracker.java
@@ -79,7 +79,7 @@
    */
   public double slowdown(long nowNanos) {
     return report
-        .map(r -> SlowdownDecay.decayed(r.slowdown(), nowNanos - reportedNanos))
+        .map(r -> SlowdownDecay.decayed(r.believedSlowdown(), nowNanos - reportedNanos))
         .orElse(TargetLoad.SLOWDOWN_UNKNOWN);
   }
 
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/ServiceTimeEstimator.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/ServiceTimeEstimator.java
@@ -54,7 +54,7 @@
    *     the slowdown that makes the request late
    */
   Optional<Verdict.NotRun> refusal(RequestContext context, double slowdown, long nowNanos) {
-    if (!canFinish(context, nowNanos)) {
+    if (!canFinish(context, slowdown, nowNanos)) {
       return Optional.of(new Verdict.NotRun(ErrorCode.DEADLINE_EXCEEDED));
     }
     double meanNanos = meanNanosByRoute.getOrDefault(context.route(), 0.0);
@@ -74,16 +74,18 @@
   }
 
   /**
-   * Returns whether a request can still finish by its deadline. Each time the result is negative,
-   * the estimate is lowered slightly, so that requests are admitted again if it was too high.
+   * Returns whether a request can still finish by its deadline, at the usual speed or at the
+   * present one if that is known to be higher. Each time the result is negative, the estimate is
+   * lowered slightly, so that requests are admitted again if it was too high.
    */
-  private boolean canFinish(RequestContext context, long nowNanos) {
+  private boolean canFinish(RequestContext context, double slowdown, long nowNanos) {
     long remainingNanos = context.remainingNanos(nowNanos);
     if (remainingNanos <= 0) {
       return false;
     }
     double meanNanos = meanNanosByRoute.getOrDefault(context.route(), 0.0);
-    if (remainingNanos >= MIN_REMAINING_SHARE * meanNanos) {
+    double factor = slowdown > 0 ? Math.min(1, slowdown) : 1;
+    if (remainingNanos >= MIN_REMAINING_SHARE * meanNanos * factor) {
       return true;
     }
     meanNanosByRoute.put(context.route(), meanNanos * REFUSAL_DECAY);
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/model/ReportedLoad.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/model/ReportedLoad.java
@@ -13,6 +13,9 @@
   /** Greatest slowdown that is believed; it bounds the effect of a wrong report. */
   public static final double MAX_SLOWDOWN = 100;
 
+  /** Least slowdown that is believed; a wrong one far below 1 makes usual times look very long. */
+  public static final double MIN_SLOWDOWN = 0.25;
+
   /** Greatest number of requests or slots that is believed, for the same reason. */
   public static final int MAX_COUNT = 100_000;
 
@@ -31,4 +34,9 @@
   public boolean hasSlowdown() {
     return slowdown > 0;
   }
+
+  /** Returns the slowdown as it is used: at least {@link #MIN_SLOWDOWN} if it is reported. */
+  public double believedSlowdown() {
+    return hasSlowdown() ? Math.max(MIN_SLOWDOWN, slowdown) : slowdown;
+  }
 }
