Ignore target reports without a slowdown and evaluate the scarcity rule once

The rule for estimated waits was evaluated, on a new load report, three times or more for a request; it is now evaluated each time that the state advances.

Two new tests of EstimatedWaitTest failed before (pressure 0.095 instead of 0 after a report, 3 evaluations instead of 1) and pass.

--- a/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/admission/EstimatedWaitTest.java
+++ b/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/admission/EstimatedWaitTest.java
@@ -1,6 +1,7 @@
 package org.pomelohollow.decision.admission;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
@@ -21,8 +22,11 @@
 import org.pomelohollow.model.AccountId;
 import org.pomelohollow.model.Endpoint;
 import org.pomelohollow.model.Priority;
+import org.pomelohollow.model.ReportedLoad;
 import org.pomelohollow.model.RequestContext;
 import org.pomelohollow.model.ServiceId;
+import org.pomelohollow.model.TargetIncarnation;
+import org.pomelohollow.model.TargetLoad;
 import org.pomelohollow.model.Verdict;
 import org.pomelohollow.model.ZoneId;
 
@@ -40,6 +44,7 @@
 
   private long now = 3_600_000 * MILLI;
   private int offered;
+  private int ruleCalls;
 
   @Test
   void requestsWaitAThirdOfTheObjectiveAndTheRestIsRefusedOnArrival() {
@@ -92,6 +97,27 @@
     assertTrue(pressureAfterBurst(true, 0) < 0.75 * pressureAfterBurst(false, 0));
   }
 
+  /** Guards against reports that change something although they carry no slowdown. */
+  @Test
+  void aReportWithoutASlowdownChangesNothing() {
+    AdmissionController a = admission(false);
+    offer(a, 20, 0);
+    now += 110 * MILLI;
+    double pressure = a.load("r").pressure();
+    ReportedLoad r = new ReportedLoad(SLOTS, 0, SLOTS, TargetLoad.SLOWDOWN_UNKNOWN);
+    assertFalse(a.recordTargetReport(new TargetIncarnation("i", 0), r, now));
+    assertEquals(pressure, a.load("r").pressure());
+  }
+
+  /** Guards against a load report that is built several times for each request. */
+  @Test
+  void theRuleIsEvaluatedOnceForEachRequest() {
+    AdmissionController a = admission(true);
+    int before = ruleCalls;
+    offer(a, 1, 0);
+    assertEquals(1, ruleCalls - before);
+  }
+
   private double pressureAfterBurst(boolean scarce, int depth) {
     AdmissionController a = admission(scarce);
     offer(a, 20, depth);
@@ -105,7 +131,14 @@
         new AdmissionController(
             ZONE,
             new AdmissionSettings(
-                FixedLimit::new, 1, WaitPolicy.OBJECTIVE_BASED, true, l -> scarce));
+                FixedLimit::new,
+                1,
+                WaitPolicy.OBJECTIVE_BASED,
+                true,
+                l -> {
+                  ruleCalls++;
+                  return scarce;
+                }));
     Document d =
         new Document(
             "d",
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionController.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionController.java
@@ -50,6 +50,9 @@
   private boolean startingQueued;
   private long latestNanos;
 
+  /** Whether the target's reports put estimated waits in effect, as of the latest time. */
+  private boolean scarce;
+
   /**
    * Creates a controller without a target.
    *
@@ -215,7 +218,8 @@
   }
 
   /**
-   * Records the load that the target reports in a response.
+   * Records the load that the target reports in a response. A report without a slowdown changes
+   * nothing.
    *
    * @param from incarnation of the target that sent the response
    * @param r the report
@@ -224,6 +228,9 @@
    *     one by which slots are taken by requests that this daemon did not send
    */
   public boolean recordTargetReport(TargetIncarnation from, ReportedLoad r, long nowNanos) {
+    if (!r.hasSlowdown()) {
+      return false;
+    }
     boolean notable = targetLimit.reportedLoad().record(from, r, inFlight(), nowNanos);
     advanceTo(nowNanos);
     return notable;
@@ -321,8 +328,9 @@
   private void advanceTo(long nowNanos) {
     latestNanos = nowNanos;
     targetLimit.advanceTo(nowNanos);
+    scarce = settings.scarcityRule().test(load(0));
     cutOff.update(targetLimit.limit(), inFlight(), nowNanos);
-    pressure.update(inFlight() + queues.pressingSize(isScarce()), targetLimit.limit(), nowNanos);
+    pressure.update(inFlight() + queues.pressingSize(scarce), targetLimit.limit(), nowNanos);
   }
 
   private void startQueued(long nowNanos) {
@@ -374,12 +382,11 @@
 
   private void tick(long nowNanos) {
     long queueBoundNanos = overload.waitBoundNanos(nowNanos);
-    boolean isScarce = isScarce();
     queues
         .removeShortIf(
             t ->
                 nowNanos - t.arrivedNanos()
-                    > waitBounds.boundNanos(t.context().route(), isScarce, queueBoundNanos))
+                    > waitBounds.boundNanos(t.context().route(), scarce, queueBoundNanos))
         .forEach(t -> shed(t, nowNanos));
     queues
         .removeIf(t -> t.context().remainingNanos(nowNanos) <= 0)
@@ -395,18 +402,13 @@
     }
   }
 
-  /** Returns whether the target's reports put estimated waits in effect. */
-  private boolean isScarce() {
-    return settings.scarcityRule().test(load(0));
-  }
-
   private boolean mayEstimateQueue() {
-    return isScarce() && notices().requestRate().requestsPerSecond().isEmpty();
+    return scarce && notices().requestRate().requestsPerSecond().isEmpty();
   }
 
   /** Sheds a request that would start too late by the estimate of its wait; returns whether so. */
   private boolean shedIfWaitIsLong(Ticket t, long nowNanos) {
-    if (t.isBulk() || !isScarce() || startsInTime(t)) {
+    if (t.isBulk() || !scarce || startsInTime(t)) {
       return false;
     }
     shed(t, nowNanos);
