Weight the utilization of a zone by the limits of its targets

The mean over targets was unweighted, so one restarted daemon whose target's slots are taken by foreign requests, limit 1 with a queue, could push its zone over 0.9 busy and requests out. Clamping at 1 instead would hide how much fuller one zone is than another.

--- a/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/routing/RouterTest.java
+++ b/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/routing/RouterTest.java
@@ -34,8 +34,8 @@
   private static final int CHOICES = 1_000;
 
   private final ManualClock clock = new ManualClock();
-  private final Router router =
-      new Router(new SplittableRandom(1), new ZoneSpill(new SplittableRandom(2), e -> {}));
+  private final ZoneSpill spill = new ZoneSpill(new SplittableRandom(2), e -> {});
+  private final Router router = new Router(new SplittableRandom(1), spill);
   private final List<Member> members = new ArrayList<>();
 
   @Example
@@ -117,6 +117,23 @@
     assertEquals(Set.of("h0"), choose().keySet());
   }
 
+  /** Guards against one target with few usable slots that makes its whole zone look full. */
+  @Example
+  void aTargetWithASmallLimitCountsLittleInTheLoadOfItsZone() {
+    for (int i = 0; i < 5; i++) {
+      addMember("h" + i, "z0", 10);
+    }
+    addMember("h5", "z1", 10);
+    publishConfigAndRoster(true);
+    for (int i = 0; i < 4; i++) {
+      reportLoad("h" + i, new TargetLoad(10, 5, 0, Priority.NONE_SHED));
+    }
+    reportLoad("h4", new TargetLoad(1, 1, 4, Priority.NONE_SHED));
+    reportLoad("h5", new TargetLoad(10, 0, 0, Priority.NONE_SHED));
+    choose();
+    assertEquals(0, spill.share(SERVICE));
+  }
+
   @Example
   void triedMembersAreChosenOnlyByChooseAllowingTried() {
     addMembers(1, 10);
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/routing/MemberStats.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/routing/MemberStats.java
@@ -107,11 +107,16 @@
 
   /** Returns the requests at the member over its limit; above 1 when requests are queued. */
   double utilization(Member m, long nowNanos) {
-    boolean hasRecentLoad = hasRecentLoad(nowNanos);
-    int limit = hasRecentLoad ? lastLoad.limit() : m.target().map(TargetState::limit).orElse(1);
     int reportedRequests =
-        hasRecentLoad ? lastLoad.inFlight() + lastLoad.queued() + startedSinceReport : 0;
-    return Math.max(outstanding, reportedRequests) / (double) Math.max(1, limit);
+        hasRecentLoad(nowNanos) ? lastLoad.inFlight() + lastLoad.queued() + startedSinceReport : 0;
+    return Math.max(outstanding, reportedRequests) / (double) limit(m, nowNanos);
+  }
+
+  /** Returns the limit that the utilization refers to: the reported one if it is recent. */
+  int limit(Member m, long nowNanos) {
+    int limit =
+        hasRecentLoad(nowNanos) ? lastLoad.limit() : m.target().map(TargetState::limit).orElse(1);
+    return Math.max(1, limit);
   }
 
   /** Returns the mean latency of complete responses in nanoseconds, 0 without one. */
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/routing/Router.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/routing/Router.java
@@ -329,13 +329,24 @@
     return new ZonePolicy.ZoneLoad(
         members.get(0).zone(),
         usable.stream().mapToInt(m -> m.target().map(TargetState::limit).orElse(0)).sum(),
-        mean(reported, m -> utilization(m, nowNanos)),
+        utilization(reported, nowNanos),
         mean(
             reported.stream().filter(m -> stats(m).latencyNanos() > 0).toList(),
             m -> completionNanos(m, nowNanos)),
         !reported.isEmpty());
   }
 
+  /**
+   * Returns the mean utilization, weighted by the limits: a target whose limit is small, since
+   * foreign requests take its slots or it is cold, does not make its zone look full.
+   */
+  private double utilization(List<Member> l, long nowNanos) {
+    double slots = l.stream().mapToDouble(m -> stats(m).limit(m, nowNanos)).sum();
+    return l.stream()
+        .mapToDouble(m -> utilization(m, nowNanos) * stats(m).limit(m, nowNanos) / slots)
+        .sum();
+  }
+
   private static double mean(List<Member> l, ToDoubleFunction<Member> value) {
     return l.stream().mapToDouble(value).average().orElse(0);
   }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/routing/ZonePolicy.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/routing/ZonePolicy.java
@@ -52,7 +52,8 @@
    *
    * @param zone the zone
    * @param slots sum of the limits of the targets
-   * @param utilization mean utilization of the targets with a recent load report; 0 without one
+   * @param utilization mean utilization of the targets with a recent load report, weighted by their
+   *     limits; 0 without one
    * @param completionNanos their mean expected time to completion in nanoseconds; 0 if unknown
    * @param reported whether at least one target has a recent load report
    */
