Estimate waits by the account's own place in the fair queue

The estimate counted all queued requests of the priority, so a small account's request was refused for a flood's queue although the fair queue would start it next. Count the account's queued requests times the accounts with queued requests, at most all.

--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionController.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionController.java
@@ -417,7 +417,7 @@
 
   /** Returns whether a request would start early enough by the estimate of its wait. */
   private boolean startsInTime(Ticket t) {
-    int ahead = queues.of(t).sizeUpTo(t.context().priority());
+    int ahead = queues.of(t).ahead(t);
     double heldNanos = serviceTimes.meanNanos(targetLimit.reportedLoad().slowdown(latestNanos));
     double waitNanos = ahead * heldNanos / Math.max(1, targetLimit.limit());
     return waitBounds.startsInTime(t.context().route(), waitNanos);
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionQueue.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionQueue.java
@@ -56,9 +56,14 @@
     return estimableSize;
   }
 
-  /** Returns the number of queued requests of a priority and of all more important ones. */
-  int sizeUpTo(Priority p) {
-    return queuesByRank.stream().limit(p.rank() + 1L).mapToInt(FairQueue::size).sum();
+  /**
+   * Returns about how many queued requests would be served before a new one: all of more important
+   * priorities, and of its own those that the fair queue serves before the last of its account.
+   */
+  int ahead(Ticket t) {
+    int rank = t.context().priority().rank();
+    int moreImportant = queuesByRank.stream().limit(rank).mapToInt(FairQueue::size).sum();
+    return moreImportant + queuesByRank.get(rank).ahead(t.context().account());
   }
 
   void add(Ticket t) {
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/FairQueue.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/FairQueue.java
@@ -33,6 +33,19 @@
     return size;
   }
 
+  /**
+   * Returns about how many requests would be served before a new one of an account: as many of each
+   * account with queued requests as this account has.
+   */
+  int ahead(Optional<AccountId> account) {
+    int own = Optional.ofNullable(flows.get(account)).map(f -> f.queued.size()).orElse(0);
+    if (own == 0) {
+      return 0;
+    }
+    long accounts = flows.values().stream().filter(f -> !f.queued.isEmpty()).count();
+    return (int) Math.min(size, own * accounts);
+  }
+
   void add(Ticket t, double weight) {
     Flow f = flows.computeIfAbsent(t.context().account(), k -> new Flow());
     f.weight = weight;
