Expect no second return of a refused caller

Callers return once, but a returned request that was refused was expected again, so that a new request of the same account and route could be taken for a returned one.

The new test of EarlyRefusalFilterTest failed before and passes.

--- a/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/request/EarlyRefusalFilterTest.java
+++ b/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/request/EarlyRefusalFilterTest.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import org.junit.jupiter.api.Test;
 import org.pomelohollow.decision.Effect;
@@ -36,6 +37,11 @@
   private static final TargetLoad HALF_SLOWED =
       new TargetLoad(10, 10, 5, Priority.NONE_SHED, 0.5, 2.5);
 
+  private static final TargetLoad FULL_SLOWED =
+      new TargetLoad(10, 10, 10, Priority.NONE_SHED, 1, 2.5);
+
+  private final RoutePressures pressures = new RoutePressures();
+  private long now = NOW;
   private final List<Effect> effects = new ArrayList<>();
 
   @Test
@@ -75,9 +81,28 @@
     }
   }
 
+  /** Guards against a wait for callers that come back once only, and did. */
+  @Test
+  void aReturnedRequestThatIsRefusedIsNotExpectedAgain() {
+    EarlyRefusalFilter f = filter(FULL_SLOWED, new SplittableRandom(5), TargetLoad::hasSlowdown);
+    Verdict.NotRun first = (Verdict.NotRun) apply(f, true).orElseThrow();
+    assertEquals("1", expectedReturns(f));
+    now += TimeUnit.MILLISECONDS.toNanos(first.retryAfterMillis());
+    pressures.recordLoad("r", FULL_SLOWED, now);
+    assertTrue(apply(f, true).isPresent());
+    assertEquals("0", expectedReturns(f));
+  }
+
+  private String expectedReturns(EarlyRefusalFilter f) {
+    return f.dump(now).lines().stream()
+        .filter(l -> l.name().equals("expected returns"))
+        .map(l -> String.valueOf(l.value()))
+        .findFirst()
+        .orElseThrow();
+  }
+
   private EarlyRefusalFilter filter(
       TargetLoad load, SplittableRandom random, Predicate<TargetLoad> rule) {
-    RoutePressures pressures = new RoutePressures();
     AccountShares shares = new AccountShares(new MemberId("h", 1), effects::add, rule);
     pressures.recordLoad("r", load, NOW);
     shares.recordLoad(SERVICE, load, NOW);
@@ -85,12 +110,12 @@
         new Router(new SplittableRandom(1), new ZoneSpill(new SplittableRandom(2), e -> {}));
     EarlyRefusalFilter f =
         new EarlyRefusalFilter(
-            new EarlyRefusalFilter.Dependencies(router, pressures, shares, random, () -> NOW));
+            new EarlyRefusalFilter.Dependencies(router, pressures, shares, random, () -> now));
     f.handle(new Event.Tick(), NOW);
     return f;
   }
 
-  private static Optional<Verdict> apply(EarlyRefusalFilter f, boolean fromCaller) {
+  private Optional<Verdict> apply(EarlyRefusalFilter f, boolean fromCaller) {
     List<Verdict> refusals = new ArrayList<>();
     RequestHead head =
         new RequestHead(
@@ -102,7 +127,7 @@
             Optional.empty(),
             0,
             Optional.empty());
-    Exchange x = new Exchange(head, NOW, refusals::add);
+    Exchange x = new Exchange(head, now, refusals::add);
     Optional<AccountId> account = fromCaller ? Optional.of(new AccountId("a")) : Optional.empty();
     x.setRoute(route(!fromCaller), SERVICE);
     account.ifPresent(x::setAccount);
@@ -114,14 +139,14 @@
             "r",
             account,
             new Priority(1),
-            NOW + 3_000_000_000L,
+            now + 3_000_000_000L,
             true,
             Optional.empty(),
             0,
             0,
             0));
     boolean[] passed = new boolean[1];
-    f.apply(x, NOW, (y, now) -> passed[0] = true);
+    f.apply(x, now, (y, n) -> passed[0] = true);
     assertEquals(passed[0], refusals.isEmpty());
     return refusals.stream().findFirst();
   }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/request/EarlyRefusalFilter.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/request/EarlyRefusalFilter.java
@@ -17,7 +17,6 @@
 import org.pomelohollow.document.AccountEntry;
 import org.pomelohollow.document.Document;
 import org.pomelohollow.errors.ErrorCode;
-import org.pomelohollow.model.AccountId;
 import org.pomelohollow.model.Priority;
 import org.pomelohollow.model.Verdict;
 
@@ -69,8 +68,9 @@
     Priority priority = x.context().priority();
     double share = shareToRefuse(x, priority, nowNanos);
     if (isShared) {
-      share = sharedPart(x, x.account().get(), priority, share, nowNanos);
-      x.mapRefusal(v -> withObeyedDelay(x, v));
+      boolean isReturned = returned.take(x.account().get(), x.context().route(), nowNanos);
+      share = sharedPart(x, share, isReturned, nowNanos);
+      x.mapRefusal(v -> withObeyedDelay(x, v, isReturned));
     }
     Priority cutOff = deps.router().cutOff(x.context().service(), nowNanos);
     boolean isCutOff =
@@ -88,17 +88,23 @@
   }
 
   /** Returns the share to refuse of the requests of an account, new or returned. */
-  private double sharedPart(
-      Exchange x, AccountId account, Priority priority, double share, long nowNanos) {
+  private double sharedPart(Exchange x, double share, boolean isReturned, long nowNanos) {
     double ofAccount =
         deps.shares()
-            .recordRequest(x.context().service(), account, priority.rank(), share, nowNanos);
-    boolean isReturned = returned.take(account, x.context().route(), nowNanos);
+            .recordRequest(
+                x.context().service(),
+                x.account().orElseThrow(),
+                x.context().priority().rank(),
+                share,
+                nowNanos);
     return Math.min(MAX_REFUSED_SHARE, returned.shareToRefuse(ofAccount, isReturned));
   }
 
-  /** Replaces the retry delay of a refusal for load and notes when the caller will return. */
-  private Verdict withObeyedDelay(Exchange x, Verdict v) {
+  /**
+   * Replaces the retry delay of a refusal for load and notes when the caller will return. Callers
+   * return once, so one that has returned is not expected again.
+   */
+  private Verdict withObeyedDelay(Exchange x, Verdict v, boolean isReturned) {
     if (!(v instanceof Verdict.NotRun n) || n.retryAfterMillis() <= 0 || !isForLoad(n.code())) {
       return v;
     }
@@ -107,7 +113,9 @@
         delays.delayMillis(
             x.context().remainingNanos(nowNanos), x.route().latencyObjectiveMillis());
     long returnNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(delayMillis);
-    x.account().ifPresent(a -> returned.expect(a, x.context().route(), returnNanos));
+    x.account()
+        .filter(a -> !isReturned)
+        .ifPresent(a -> returned.expect(a, x.context().route(), returnNanos));
     return new Verdict.NotRun(n.code(), delayMillis);
   }
 
