--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionController.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/admission/AdmissionController.java
@@ -50,6 +50,9 @@
   private boolean startingQueued;
   private long latestNanos;
 
+  /** Whether the target's reports put estimated waits in effect, as of the latest time. */
+  private boolean scarce;
+
   /**
    * Creates a controller without a target.
    *
@@ -215,7 +218,8 @@
   }
 
   /**
-   * Records the load that the target reports in a response.
+   * Records the load that the target reports in a response. A report without a slowdown changes
+   * nothing.
    *
    * @param from incarnation of the target that sent the response
    * @param r the report
@@ -224,6 +228,9 @@
    *     one by which slots are taken by requests that this daemon did not send
    */
   public boolean recordTargetReport(TargetIncarnation from, ReportedLoad r, long nowNanos) {
+    if (!r.hasSlowdown()) {
+      return false;
+    }
     boolean notable = targetLimit.reportedLoad().record(from, r, inFlight(), nowNanos);
     advanceTo(nowNanos);
     return notable;
@@ -345,8 +352,9 @@
   private void advanceTo(long nowNanos) {
     latestNanos = nowNanos;
     targetLimit.advanceTo(nowNanos);
+    scarce = settings.scarcityRule().test(load(0));
     cutOff.update(targetLimit.limit(), inFlight(), nowNanos);
-    pressure.update(inFlight() + queues.pressingSize(isScarce()), targetLimit.limit(), nowNanos);
+    pressure.update(inFlight() + queues.pressingSize(scarce), targetLimit.limit(), nowNanos);
   }
 
   private void startQueued(long nowNanos) {
@@ -398,12 +406,11 @@
 
   private void tick(long nowNanos) {
     long queueBoundNanos = overload.waitBoundNanos(nowNanos);
-    boolean isScarce = isScarce();
     queues
         .removeShortIf(
             t ->
                 nowNanos - t.arrivedNanos()
-                    > waitBounds.boundNanos(t.context().route(), isScarce, queueBoundNanos))
+                    > waitBounds.boundNanos(t.context().route(), scarce, queueBoundNanos))
         .forEach(t -> shed(t, nowNanos));
     queues
         .removeIf(t -> t.context().remainingNanos(nowNanos) <= 0)
@@ -419,18 +426,13 @@
     }
   }
 
-  /** Returns whether the target's reports put estimated waits in effect. */
-  private boolean isScarce() {
-    return settings.scarcityRule().test(load(0));
-  }
-
   private boolean mayEstimateQueue() {
-    return isScarce() && notices().requestRate().requestsPerSecond().isEmpty();
+    return scarce && notices().requestRate().requestsPerSecond().isEmpty();
   }
 
   /** Sheds a request that would start too late by the estimate of its wait; returns whether so. */
   private boolean shedIfWaitIsLong(Ticket t, long nowNanos) {
-    if (t.isBulk() || !isScarce() || startsInTime(t)) {
+    if (t.isBulk() || !scarce || startsInTime(t)) {
       return false;
     }
     shed(t, nowNanos);
@@ -439,7 +441,7 @@
 
   /** Returns whether a request would start early enough by the estimate of its wait. */
   private boolean startsInTime(Ticket t) {
-    int ahead = queues.of(t).sizeUpTo(t.context().priority());
+    int ahead = queues.of(t).ahead(t);
     double heldNanos = serviceTimes.meanNanos(targetLimit.reportedLoad().slowdown(latestNanos));
     double waitNanos = ahead * heldNanos / Math.max(1, targetLimit.limit());
     return waitBounds.startsInTime(t.context().route(), waitNanos);
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/routing/Router.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/routing/Router.java
@@ -329,13 +329,24 @@
     return new ZonePolicy.ZoneLoad(
         members.get(0).zone(),
         usable.stream().mapToInt(m -> m.target().map(TargetState::limit).orElse(0)).sum(),
-        mean(reported, m -> utilization(m, nowNanos)),
+        utilization(reported, nowNanos),
         mean(
             reported.stream().filter(m -> stats(m).latencyNanos() > 0).toList(),
             m -> completionNanos(m, nowNanos)),
         !reported.isEmpty());
   }
 
+  /**
+   * Returns the mean utilization, weighted by the limits: a target whose limit is small, since
+   * foreign requests take its slots or it is cold, does not make its zone look full.
+   */
+  private double utilization(List<Member> l, long nowNanos) {
+    double slots = l.stream().mapToDouble(m -> stats(m).limit(m, nowNanos)).sum();
+    return l.stream()
+        .mapToDouble(m -> utilization(m, nowNanos) * stats(m).limit(m, nowNanos) / slots)
+        .sum();
+  }
+
   private static double mean(List<Member> l, ToDoubleFunction<Member> value) {
     return l.stream().mapToDouble(value).average().orElse(0);
   }
@@ -373,14 +384,14 @@
 
   /** Returns the member that is expected to complete a request sooner. */
   private Member soonerDone(Member first, Member second, long nowNanos) {
-    boolean timed = stats(first).latencyNanos() > 0 && stats(second).latencyNanos() > 0;
-    ToDoubleFunction<Member> cost =
-        m ->
-            (timed
-                    ? stats(m).expectedCompletionNanos(m, nowNanos)
-                    : stats(m).relativeCompletion(m, nowNanos))
-                / zoneRampUp.weight(m.zone(), nowNanos);
-    return cost.applyAsDouble(first) <= cost.applyAsDouble(second) ? first : second;
+    return completionCost(first, second, nowNanos) <= completionCost(second, first, nowNanos)
+        ? first
+        : second;
+  }
+
+  private double completionCost(Member m, Member other, long nowNanos) {
+    return stats(m).expectedCompletionNanos(m, stats(other), nowNanos)
+        / zoneRampUp.weight(m.zone(), nowNanos);
   }
 
   private double weightedNextUtilization(Member m, long nowNanos) {
