Only the first evaluator of an order takes its steps

Evaluators that were not first advanced the steps on their own and skipped some at their take-over. A first evaluator that came back reset the order to the canary, and one that was live but silent blocked it.

Now one evaluator acts: it alone takes steps and completes, and its steps' times start at its take-over. It goes on until it hears one of a lower rank. The reply to a query carries the announcement too. An evaluator that returns from a minority listens again first.

RolloutTest: two of the three new tests failed before (switch reset by a restarted first evaluator; order blocked by one that is not heard). The third fails if the other evaluators take steps.

--- a/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/rollout/RolloutSimulation.java
+++ b/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/rollout/RolloutSimulation.java
@@ -50,6 +50,7 @@
   private final PriorityQueue<Action> actions = new PriorityQueue<>();
   private final double ratePerSecond;
   private BiPredicate<String, String> reachable = (a, b) -> true;
+  private Optional<String> unheard = Optional.empty();
   private List<RolloutOrder> orders = List.of();
   private long nowMillis;
   private long actionCount;
@@ -136,6 +137,11 @@
     at(nowMillis + NOTICE_MILLIS, this::publishRosters);
   }
 
+  /** Loses all messages to and from a daemon, which stays a live member. */
+  void loseMessagesOf(String name) {
+    unheard = Optional.of(name);
+  }
+
   void at(long millis, Runnable task) {
     actions.add(new Action(Math.max(millis, nowMillis), actionCount++, task));
   }
@@ -236,7 +242,8 @@
 
   private void send(SimulatedHost from, MemberId sender, Effect.Send s) {
     SimulatedHost to = hosts.get(s.to().host());
-    if (to.id.equals(s.to()) && isReachable(from, to)) {
+    boolean lost = unheard.filter(n -> n.equals(from.name) || n.equals(to.name)).isPresent();
+    if (!lost && to.id.equals(s.to()) && isReachable(from, to)) {
       deliver(to, new Event.MessageReceived(sender, s.message()));
     }
   }
--- a/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/rollout/RolloutTest.java
+++ b/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/rollout/RolloutTest.java
@@ -69,6 +69,45 @@
     }
   }
 
+  /** Guards against steps that an evaluator takes unannounced and skips when it goes first. */
+  @Example
+  void anEvaluatorThatTakesOverAnnouncesEachStep() {
+    RolloutSimulation s = simulation(SIZES[1], 12_000, Behaviour.GOOD, 1);
+    s.at(10_600, () -> s.killDaemon(evaluators(s).get(0)));
+    s.runUntil(14_000);
+    long half = s.log.stream().filter(l -> l.contains("step HALF")).count();
+    assertTrue(half > 0, () -> String.join("\n", s.log));
+  }
+
+  /** Guards against a switch that is reset to the canary when the first evaluator returns. */
+  @Example
+  void aSwitchGoesOnWhenTheFirstEvaluatorRestarts() {
+    for (long backMillis : new long[] {10_300, 11_000, 11_600}) {
+      RolloutSimulation s = simulation(SIZES[1], 12_000, Behaviour.GOOD, 1);
+      String first = evaluators(s).get(0);
+      s.at(8_000, () -> s.killDaemon(first));
+      s.at(backMillis, () -> s.restartDaemon(first));
+      s.runUntil(18_000);
+      String text = backMillis + "\n" + String.join("\n", s.log);
+      assertEquals(RolloutState.COMPLETED, lastState(s, ORDER), text);
+      assertEquals(0, s.log.stream().filter(l -> isCanaryAfter(l, 10_000)).count(), text);
+    }
+  }
+
+  /** Guards against an order that waits for a first evaluator which nobody hears. */
+  @Example
+  void aFirstEvaluatorThatIsNotHeardDoesNotBlockTheOrder() {
+    RolloutSimulation s = simulation(SIZES[1], 12_000, Behaviour.GOOD, 1);
+    s.loseMessagesOf(evaluators(s).get(0));
+    s.runUntil(18_000);
+    assertEquals(RolloutState.COMPLETED, lastState(s, ORDER), () -> String.join("\n", s.log));
+  }
+
+  private static boolean isCanaryAfter(String line, long millis) {
+    return line.contains("step CANARY")
+        && Long.parseLong(line.substring(0, line.indexOf(' '))) > millis;
+  }
+
   @Example
   void aBadVersionIsRolledBackAlthoughItsEvaluatorIsLost() {
     Behaviour late = Behaviour.failing(0.35).onlyIf(r -> r.targetAgeMillis() > 3_000);
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/rollout/RolloutEvaluator.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/rollout/RolloutEvaluator.java
@@ -52,6 +52,10 @@
   private int avoidedCount;
   private int greatestOldLimit;
   private long oldResponses;
+
+  /** Responses of the new version at the last evaluation. */
+  private long responses;
+
   private Optional<Long> idleSinceNanos = Optional.empty();
 
   /** Whether the order was found completed; it stays so unless the version turns out to be bad. */
@@ -70,21 +74,30 @@
 
   /** Continues from what another evaluator has announced. */
   void adopt(RolloutAnnouncement a, long nowNanos) {
-    steps.adopt(a.step(), nowNanos);
+    steps.adopt(a.step(), responses, nowNanos);
     rotation = Math.max(rotation, a.rotation());
   }
 
+  /** Starts to set the share in place of the evaluator that did so before. */
+  void takeOver(long nowNanos) {
+    steps.takeOver(nowNanos);
+    completed = false;
+  }
+
   /**
-   * Evaluates the order.
+   * Evaluates the order. An evaluator that does not set the share only looks for a bad version:
+   * were its steps to advance as well, it would skip the announcement of some at its take-over.
    *
+   * @param first whether this evaluator sets the share in force
    * @param view what the daemon knows of the members
    * @param elapsedNanos time since the order, in nanoseconds
    * @param nowNanos current monotonic time, in nanoseconds
    * @return share in force, and the end of the order if it is due
    */
-  Decision evaluate(MemberView view, long elapsedNanos, long nowNanos) {
+  Decision evaluate(boolean first, MemberView view, long elapsedNanos, long nowNanos) {
     VersionComparison comparison = new VersionComparison(evidence.spans(this::isOld, nowNanos));
     VersionComparison.Judgement j = judge.judge(comparison, nowNanos);
+    responses = j.responses();
     Use use = use(j, elapsedNanos, nowNanos);
     if (j.bad()) {
       return end(RolloutState.ROLLED_BACK, j.reason(), use);
@@ -97,6 +110,10 @@
       rotatedNanos = nowNanos;
     }
     RolloutSteps.Situation s = situation(view, comparison, use, nowNanos);
+    if (!first) {
+      return new Decision(
+          announcement(0, s.goodSoFar(), elapsedNanos), Optional.empty(), false, "");
+    }
     steps.advance(s, nowNanos);
     completed |= isCompleted(view, s, nowNanos);
     if (completed) {
@@ -223,10 +240,10 @@
 
   /** Tracks since when nothing runs or ends at the old targets. */
   private void trackOldTargets(long nowNanos) {
-    long responses = evidence.spans(this::isOld, nowNanos).all().responses();
-    boolean busy = responses != oldResponses || evidence.inFlight(this::isOld, nowNanos) > 0;
+    long ended = evidence.spans(this::isOld, nowNanos).all().responses();
+    boolean busy = ended != oldResponses || evidence.inFlight(this::isOld, nowNanos) > 0;
     if (busy || idleSinceNanos.isEmpty()) {
-      oldResponses = responses;
+      oldResponses = ended;
       idleSinceNanos = Optional.of(nowNanos);
     }
   }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/rollout/RolloutSteps.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/rollout/RolloutSteps.java
@@ -49,14 +49,24 @@
     return nowNanos - stepSinceNanos;
   }
 
-  /** Continues from a step that another evaluator has announced. */
-  void adopt(RolloutStep s, long nowNanos) {
+  /**
+   * Continues from a step that another evaluator has announced.
+   *
+   * @param responses responses of the new version that this evaluator knows of
+   */
+  void adopt(RolloutStep s, long responses, long nowNanos) {
     if (s != step) {
       step = s;
       stepSinceNanos = nowNanos;
+      responsesAtStep = responses;
     }
   }
 
+  /** Starts the present step's time anew: only now does this evaluator announce it. */
+  void takeOver(long nowNanos) {
+    stepSinceNanos = nowNanos;
+  }
+
   /** Returns the length of the canary for a duration, both in nanoseconds. */
   static long canaryNanos(long durationNanos) {
     return (long) (CANARY_PART * durationNanos);
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/rollout/ServiceRollout.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/rollout/ServiceRollout.java
@@ -26,6 +26,12 @@
   /** Time for which a new evaluator listens to others before it announces a share of its own. */
   private static final long LISTEN_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
 
+  /**
+   * Time without an announcement of a lower rank after which an evaluator sets the share, times its
+   * rank. One that is live may be unable to announce: it lacks the order, the state or a link.
+   */
+  private static final long SILENCE_NANOS = ShareInForce.VALID_NANOS;
+
   /** Time for which requests at targets of a replaced order may go on, besides an interval. */
   private static final long CARRY_OVER_NANOS = TimeUnit.SECONDS.toNanos(2);
 
@@ -37,11 +43,18 @@
   private final RolloutOutput out;
   private final RolloutEvaluator evaluator;
   private final ShareInForce shareInForce;
-  private final long createdNanos;
 
   /** Time of the order as far as is known; earlier if another daemon has known it for longer. */
   private long orderedNanos;
 
+  /** Whether this evaluator sets the share in force. */
+  private boolean acting;
+
+  /** Whether this daemon sees too few of the members to move on. */
+  private boolean isolated;
+
+  private long listeningSinceNanos;
+  private long lowerHeardNanos;
   private boolean statusKnown;
   private boolean runningStored;
   private Optional<RolloutState> end = Optional.empty();
@@ -67,8 +80,9 @@
     this.out = out;
     this.evaluator = new RolloutEvaluator(order, settings);
     this.shareInForce = new ShareInForce(order.id());
-    this.createdNanos = nowNanos;
     this.orderedNanos = nowNanos;
+    this.listeningSinceNanos = nowNanos;
+    this.lowerHeardNanos = nowNanos;
     this.reread.isDue(nowNanos);
   }
 
@@ -117,11 +131,23 @@
       statusKnown = true;
       shareInForce.add(from, a, nowNanos);
       if (!from.equals(self)) {
-        evaluator.adopt(a, nowNanos);
+        follow(from, nowNanos);
       }
     }
   }
 
+  /** Adopts the announcement in force, unless this evaluator sets the share and goes first. */
+  private void follow(MemberId from, long nowNanos) {
+    int rank = evaluators.indexOf(from);
+    if (rank >= 0 && rank < evaluators.indexOf(self)) {
+      acting = false;
+      lowerHeardNanos = nowNanos;
+    }
+    if (!acting || isolated) {
+      shareInForce.valid(nowNanos).ifPresent(v -> evaluator.adopt(v, nowNanos));
+    }
+  }
+
   /** Returns the evaluators as of the last tick, the first one first. */
   List<MemberId> evaluators() {
     return evaluators;
@@ -145,6 +171,10 @@
     if (statusKnown || end.isPresent()) {
       out.send(to, verdict(nowNanos));
     }
+    if (end.isEmpty()) {
+      // One that may be about to go first must continue from the step, not from the canary.
+      shareInForce.standing(nowNanos).ifPresent(a -> out.send(to, a));
+    }
   }
 
   /** Applies a read of the store; empty if it has no state of this order. */
@@ -175,11 +205,28 @@
       return;
     }
     learnStatus(rank, nowNanos);
+    if (isolated && view.hasMajority()) {
+      // The other side may have gone on to a later step.
+      acting = false;
+      listeningSinceNanos = nowNanos;
+    }
+    isolated = !view.hasMajority();
+    acting &= rank >= 0;
     if (rank >= 0 && statusKnown && evaluation.isDue(nowNanos)) {
-      evaluate(roster, view, rank == 0, nowNanos);
+      if (!acting && isFirst(rank, nowNanos)) {
+        acting = true;
+        evaluator.takeOver(nowNanos);
+      }
+      evaluate(roster, view, nowNanos);
     }
   }
 
+  /** Returns whether no evaluator of a lower rank is there, or none has announced for a while. */
+  private boolean isFirst(int rank, long nowNanos) {
+    return nowNanos - listeningSinceNanos >= LISTEN_NANOS
+        && nowNanos - lowerHeardNanos >= rank * SILENCE_NANOS;
+  }
+
   String describe(long nowNanos) {
     return state()
         + (end.isPresent() ? (endStored ? " (stored)" : " (not stored yet)") : "")
@@ -195,14 +242,14 @@
         + evaluator.describe(nowNanos);
   }
 
-  private void evaluate(Roster roster, MemberView view, boolean first, long nowNanos) {
-    Decision d = evaluator.evaluate(view, nowNanos - orderedNanos, nowNanos);
+  private void evaluate(Roster roster, MemberView view, long nowNanos) {
+    Decision d = evaluator.evaluate(acting, view, nowNanos - orderedNanos, nowNanos);
     if (d.bad() && d.end().isPresent()) {
       finish(RolloutState.ROLLED_BACK, false, d.reason(), nowNanos);
       repeatEnd(roster, 0, nowNanos);
       return;
     }
-    if (!first || nowNanos - createdNanos < LISTEN_NANOS) {
+    if (!acting) {
       return;
     }
     if (d.end().filter(s -> s == RolloutState.ROLLED_BACK).isPresent()) {
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/rollout/ShareInForce.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/rollout/ShareInForce.java
@@ -41,10 +41,12 @@
    * where it is: the old targets may be about to be stopped.
    */
   double share(long nowNanos) {
-    return valid(nowNanos)
-        .or(() -> last.filter(a -> a.step().isSwitch()))
-        .map(RolloutAnnouncement::share)
-        .orElse(0.0);
+    return standing(nowNanos).map(RolloutAnnouncement::share).orElse(0.0);
+  }
+
+  /** Returns the announcement that the share is taken from. */
+  Optional<RolloutAnnouncement> standing(long nowNanos) {
+    return valid(nowNanos).or(() -> last.filter(a -> a.step().isSwitch()));
   }
 
   private record Received(RolloutAnnouncement announcement, long atNanos) {}
