Old targets are stopped only when they are idle; short orders can complete

`completed` was written at the time limit while old targets ran requests, was sticky at other evaluators and after a return to 0.25; a retry after it went to an old target; counts were lost while a target was away for a moment; the margins of the switch left no time in orders under about 8.1 s.

Now an order whose old targets are not idle at the limit is rolled back: that loses no request, while a stop loses those that run, and the evaluator can't know which of them would be cut anyway. The switch begins earlier if old requests usually take over 1 s (99 in 100). Its margins shrink below 10 s.

The loss of counts has no test.

--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/rollout/RolloutController.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/rollout/RolloutController.java
@@ -57,6 +57,7 @@
 
   private final Interval reporting = new Interval(REPORT_INTERVAL_NANOS);
   private Optional<Roster> roster = Optional.empty();
+  private Optional<ServiceId> ownService = Optional.empty();
   private int mostMembers;
   private long mostMembersNanos;
   private boolean hasDocument;
@@ -261,9 +262,10 @@
   }
 
   private Optional<RolloutOrder> ownOrder() {
-    return target
-        .get()
-        .map(t -> rollouts.get(t.service()))
+    // A target that is lost for a moment keeps its counts.
+    ownService = target.get().map(TargetState::service).or(() -> ownService);
+    return ownService
+        .map(rollouts::get)
         .filter(r -> !r.state().isFinal())
         .map(ServiceRollout::order);
   }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/rollout/RolloutEvaluator.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/rollout/RolloutEvaluator.java
@@ -58,7 +58,7 @@
 
   private Optional<Long> idleSinceNanos = Optional.empty();
 
-  /** Whether the order was found completed; it stays so unless the version turns out to be bad. */
+  /** Whether the order was found completed; it stays so while all requests go to the version. */
   private boolean completed;
 
   RolloutEvaluator(RolloutOrder order, RolloutSettings settings) {
@@ -115,12 +115,13 @@
           announcement(0, s.goodSoFar(), elapsedNanos), Optional.empty(), false, "");
     }
     steps.advance(s, nowNanos);
-    completed |= isCompleted(view, s, nowNanos);
+    completed = steps.step() == RolloutStep.ALL && (completed || isCompleted(view, s, nowNanos));
     if (completed) {
       return end(RolloutState.COMPLETED, "", use);
     }
     if (isTimeUp(elapsedNanos) && view.hasMajority()) {
-      String why = "not judged good in time, " + j.responses() + " responses";
+      String what = steps.step() == RolloutStep.ALL ? "old targets not idle" : "not judged good";
+      String why = what + " in time, " + j.responses() + " responses";
       return end(RolloutState.ROLLED_BACK, present ? why : "no targets of the version", use);
     }
     rotate(nowNanos);
@@ -189,6 +190,7 @@
         evidence.limit(this::isNew, nowNanos),
         demand(nowNanos),
         comparison.slowNanos(),
+        comparison.longestNanos(),
         view.hasMajority(),
         budget.allowsStep(
             use.budgetUse(), RolloutStep.QUARTER.share(), RolloutSteps.MAX_QUARTER_NANOS, left),
@@ -248,6 +250,10 @@
     }
   }
 
+  /**
+   * Returns whether the old targets may be stopped. That the time is up is no reason: the requests
+   * that run there would be lost, and some may not be repeated. A roll-back loses none.
+   */
   private boolean isCompleted(MemberView view, RolloutSteps.Situation s, long nowNanos) {
     if (steps.step() != RolloutStep.ALL
         || steps.lastedNanos(nowNanos) < SETTLED_NANOS
@@ -257,10 +263,8 @@
     }
     List<MemberId> fresh =
         evidence.freshTargets(this::isOld, nowNanos).stream().map(Evidence.Target::member).toList();
-    boolean idle =
-        nowNanos - idleSinceNanos.orElse(nowNanos) >= IDLE_NANOS
-            && fresh.containsAll(view.oldTargets());
-    return idle || isTimeUp(s.elapsedNanos());
+    return nowNanos - idleSinceNanos.orElse(nowNanos) >= IDLE_NANOS
+        && fresh.containsAll(view.oldTargets());
   }
 
   private boolean isTimeUp(long elapsedNanos) {
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/rollout/RolloutSteps.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/rollout/RolloutSteps.java
@@ -10,14 +10,26 @@
   /** Shortest canary, if there is time: some versions turn bad only seconds after their start. */
   private static final long MIN_CANARY_NANOS = TimeUnit.MILLISECONDS.toNanos(4_500);
 
-  /** Time before the limit from which the switch doesn't wait for a longer canary. */
-  private static final long SWITCH_DUE_NANOS = TimeUnit.MILLISECONDS.toNanos(4_200);
+  /** Duration below which the times of the switch shrink with it; else it could not be done. */
+  private static final double USUAL_DURATION_NANOS = 10e9;
 
-  /** Time before the limit after which the switch can't be finished any more. */
-  private static final long TOO_LATE_NANOS = TimeUnit.MILLISECONDS.toNanos(3_400);
+  /** Time that old targets need to be found idle, with requests of up to 1 s. */
+  private static final long END_NANOS = TimeUnit.MILLISECONDS.toNanos(1_800);
 
-  /** Time before the limit from which the first step lasts no longer than needed. */
-  private static final long HURRY_NANOS = TimeUnit.MILLISECONDS.toNanos(5_000);
+  /** Longest time of a request for which {@link #END_NANOS} is enough. */
+  private static final long SHORT_REQUEST_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+  /** Part of the duration before which the switch does not begin, also with long requests. */
+  private static final double SHORTEST_CANARY_PART = 0.42;
+
+  /** Time before the end phase from which the switch doesn't wait for a longer canary. */
+  private static final long SWITCH_DUE_NANOS = TimeUnit.MILLISECONDS.toNanos(2_400);
+
+  /** Time before the end phase after which the switch can't be finished any more. */
+  private static final long TOO_LATE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_600);
+
+  /** Time before the end phase from which the first step lasts no longer than needed. */
+  private static final long HURRY_NANOS = TimeUnit.MILLISECONDS.toNanos(3_200);
 
   static final long MIN_QUARTER_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
   static final long MAX_QUARTER_NANOS = TimeUnit.MILLISECONDS.toNanos(1_800);
@@ -25,8 +37,8 @@
   /** Longest time that the first step waits for responses on every route. */
   private static final long LONGEST_QUARTER_NANOS = TimeUnit.MILLISECONDS.toNanos(1_900);
 
-  /** Time before the limit from which the first step does not wait for routes. */
-  private static final long LAST_HALF_NANOS = TimeUnit.MILLISECONDS.toNanos(2_600);
+  /** Time before the end phase from which the first step does not wait for routes. */
+  private static final long LAST_HALF_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
 
   /** Responses on a route from which a version shows that is bad there only. */
   private static final int MIN_ON_ROUTE = 16;
@@ -112,7 +124,7 @@
         && switch (step) {
           case CANARY -> isSwitchDue(s);
           case QUARTER -> isQuarterDone(s, nowNanos);
-          case HALF -> lastedNanos(nowNanos) >= HALF_NANOS;
+          case HALF -> lastedNanos(nowNanos) >= scale(s) * HALF_NANOS;
           case ALL -> false;
         };
   }
@@ -120,7 +132,7 @@
   /** Returns whether slow responses of this step have shown, and all routes have responses. */
   private boolean isQuarterDone(Situation s, long nowNanos) {
     long lasted = lastedNanos(nowNanos);
-    boolean hurry = s.elapsedNanos() > s.durationNanos() - LAST_HALF_NANOS;
+    boolean hurry = s.elapsedNanos() > before(s, LAST_HALF_NANOS);
     boolean routesJudged =
         s.judgement().leastOnRoute() >= MIN_ON_ROUTE || lasted >= LONGEST_QUARTER_NANOS || hurry;
     return lasted >= quarterNanos(s)
@@ -135,21 +147,37 @@
     if (s.fewOldTargets()) {
       return true; // Callers are refused meanwhile.
     }
-    long earliest = canaryNanos(s.durationNanos());
     long afterCanary = s.canaryStartNanos() + MIN_CANARY_NANOS;
-    long due = s.durationNanos() - SWITCH_DUE_NANOS;
+    // Requests that old targets have begun must end before the limit.
+    long longer = Math.max(0, s.longestNanos() - SHORT_REQUEST_NANOS);
+    long due =
+        Math.max(
+            (long) (SHORTEST_CANARY_PART * s.durationNanos()),
+            before(s, SWITCH_DUE_NANOS) - longer);
+    long earliest = Math.min(due, canaryNanos(s.durationNanos()));
     return s.elapsedNanos() >= Math.max(earliest, Math.min(afterCanary, due))
-        && s.elapsedNanos() <= s.durationNanos() - TOO_LATE_NANOS
+        && s.elapsedNanos() <= before(s, TOO_LATE_NANOS)
         && s.withinBudget();
   }
 
   /** Returns the length of the first step: slow responses in it must have shown by its end. */
   static long quarterNanos(Situation s) {
     long judged = REPORT_DELAY_NANOS + s.slowNanos();
-    boolean hurry = s.elapsedNanos() > s.durationNanos() - HURRY_NANOS;
-    return hurry
-        ? MIN_QUARTER_NANOS
-        : Math.max(MIN_QUARTER_NANOS, Math.min(MAX_QUARTER_NANOS, judged));
+    boolean hurry = s.elapsedNanos() > before(s, HURRY_NANOS);
+    long length =
+        hurry
+            ? MIN_QUARTER_NANOS
+            : Math.max(MIN_QUARTER_NANOS, Math.min(MAX_QUARTER_NANOS, judged));
+    return (long) (scale(s) * length);
+  }
+
+  /** Returns a time before the end phase, counted from the order, in nanoseconds. */
+  private static long before(Situation s, long nanos) {
+    return s.durationNanos() - END_NANOS - (long) (scale(s) * nanos);
+  }
+
+  private static double scale(Situation s) {
+    return Math.min(1, s.durationNanos() / USUAL_DURATION_NANOS);
   }
 
   private static boolean hasSlots(Situation s, RolloutStep to) {
@@ -168,6 +196,7 @@
    * @param newLimit limit of the requests in flight at the new targets
    * @param demand slots that all requests of the service need
    * @param slowNanos time after which a response is slow, in nanoseconds
+   * @param longestNanos longest usual time of a request at the old version, in nanoseconds
    * @param mayAdvance whether this evaluator sees enough of the members
    * @param withinBudget whether the first step of the switch stays within the bound on exposure
    * @param withoutOldTargets whether no old target is left
@@ -183,6 +212,7 @@
       int newLimit,
       double demand,
       long slowNanos,
+      long longestNanos,
       boolean mayAdvance,
       boolean withinBudget,
       boolean withoutOldTargets,
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/rollout/ServiceRollout.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/rollout/ServiceRollout.java
@@ -105,7 +105,7 @@
       VersionGroups g, boolean retry, RandomGenerator random, long nowNanos) {
     if (end.isPresent()) {
       return end.get() == RolloutState.COMPLETED
-          ? new TrafficSplit.Groups(g.fresh(), g.old(), false)
+          ? new TrafficSplit.Groups(g.fresh().isEmpty() ? g.old() : g.fresh(), List.of(), false)
           : new TrafficSplit.Groups(g.old(), List.of(), false);
     }
     double share = shareInForce.share(nowNanos);
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/rollout/TimeHistogram.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/rollout/TimeHistogram.java
@@ -57,11 +57,16 @@
 
   /** Returns the bucket of the median, 0 without times. */
   int medianBucket() {
-    long half = (total() + 1) / 2;
+    return quantileBucket(0.5);
+  }
+
+  /** Returns the bucket of a quantile, 0 without times. */
+  int quantileBucket(double q) {
+    long needed = (long) Math.ceil(q * total());
     long n = 0;
     for (int i = 0; i < BUCKETS; i++) {
       n += counts[i];
-      if (n >= half) {
+      if (n >= needed) {
         return i;
       }
     }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/rollout/Totals.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/rollout/Totals.java
@@ -50,6 +50,8 @@
 
   /** Counts of one route. */
   static final class Route {
+    private static final double LONGEST = 0.99;
+
     private final TimeHistogram times = new TimeHistogram();
     private final TimeHistogram running = new TimeHistogram();
     private long responses;
@@ -65,6 +67,11 @@
       return responses;
     }
 
+    /** Returns the time within which 99 in 100 responses came, in nanoseconds. */
+    long longestNanos() {
+      return TimeHistogram.lowerNanos(times.quantileBucket(LONGEST) + 1);
+    }
+
     long failures() {
       return failures;
     }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/rollout/VersionComparison.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/rollout/VersionComparison.java
@@ -66,6 +66,14 @@
         bad.map(Check::toString).orElse(""));
   }
 
+  /** Returns the longest usual time of a request at the old version, in nanoseconds. */
+  long longestNanos() {
+    return oldVersion.all().routes().values().stream()
+        .mapToLong(Totals.Route::longestNanos)
+        .max()
+        .orElse(0);
+  }
+
   /** Returns a time after which a request to the new version is known to be slow. */
   long slowNanos() {
     return oldVersion.all().routes().keySet().stream()
