Hold back a version that appears beside a serving one

A daemon that had not learnt the order gave the new version its full share. Where the settings have `expose_share`, such a version now gets nothing for 5 s or until an order names it, as long as another one serves. Elsewhere nothing changes. A service with one version costs one look-up.

--- a/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/settings/SettingsReader.java
+++ b/org.pomelohollow.daemon/src/main/java/org/pomelohollow/daemon/settings/SettingsReader.java
@@ -209,7 +209,7 @@
                 .map(Duration::toNanos)
                 .orElse(d.rollbackNanos())
             : d.rollbackNanos();
-    return new RolloutSettings(share, slack, rollbackNanos);
+    return new RolloutSettings(share, slack, rollbackNanos, s.has("expose_share"));
   }
 
   /** Parses a number with unit {@code ms} or {@code s}. */
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/rollout/RolloutController.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/rollout/RolloutController.java
@@ -56,6 +56,7 @@
   private final Map<ServiceId, Map<String, Long>> abandoned = new HashMap<>();
 
   private final Interval reporting = new Interval(REPORT_INTERVAL_NANOS);
+  private final VersionHold hold = new VersionHold();
   private Optional<Roster> roster = Optional.empty();
   private Optional<ServiceId> ownService = Optional.empty();
   private int mostMembers;
@@ -121,15 +122,15 @@
   @Override
   public Optional<Groups> split(
       ServiceId service, List<Member> serving, boolean retry, long nowNanos) {
-    if (rollouts.isEmpty() && abandoned.isEmpty()) {
+    if (rollouts.isEmpty() && abandoned.isEmpty() && hold.isEmpty()) {
       return Optional.empty();
     }
     ServiceRollout r = rollouts.get(service);
     if (r != null) {
-      VersionGroups g = VersionGroups.of(r.order(), abandonedVersions(service), serving);
+      VersionGroups g = VersionGroups.of(r.order(), excluded(r.order()), serving);
       return Optional.of(r.groups(g, retry, random, nowNanos));
     }
-    return abandoned.containsKey(service)
+    return !excluded(service).isEmpty()
         ? Optional.of(new Groups(settled(service, serving), List.of(), false))
         : Optional.empty();
   }
@@ -138,9 +139,9 @@
   public List<Member> settled(ServiceId service, List<Member> serving) {
     ServiceRollout r = rollouts.get(service);
     if (r == null) {
-      return VersionGroups.without(abandonedVersions(service), serving);
+      return VersionGroups.without(excluded(service), serving);
     }
-    VersionGroups g = VersionGroups.of(r.order(), abandonedVersions(service), serving);
+    VersionGroups g = VersionGroups.of(r.order(), excluded(r.order()), serving);
     return r.isSettledOnNew() && !g.fresh().isEmpty() ? g.fresh() : g.old();
   }
 
@@ -153,6 +154,9 @@
     } else if (event instanceof Event.RosterChanged c) {
       roster = Optional.of(c.roster());
       countMembers(c.roster().members().size(), nowNanos);
+      if (settings.expected()) {
+        hold.update(c.roster(), nowNanos);
+      }
     } else if (event instanceof Event.MessageReceived m) {
       receive(m.from(), m.message(), nowNanos);
     } else if (event instanceof Event.RolloutStatusRead s) {
@@ -245,7 +249,31 @@
     return versions == null ? Set.of() : versions.keySet();
   }
 
+  /** Returns the versions of a service that get nothing while there are others. */
+  private Set<String> excluded(ServiceId service) {
+    Set<String> held = hold.versions(service);
+    Set<String> all = abandonedVersions(service);
+    if (held.isEmpty()) {
+      return all;
+    }
+    Set<String> both = new HashSet<>(all);
+    both.addAll(held);
+    return both;
+  }
+
+  /** Returns the versions that an order's service must not use; the order decides on its own. */
+  private Set<String> excluded(RolloutOrder o) {
+    Set<String> all = excluded(o.service());
+    if (!all.contains(o.version())) {
+      return all;
+    }
+    Set<String> others = new HashSet<>(all);
+    others.remove(o.version());
+    return others;
+  }
+
   private void tick(long nowNanos) {
+    hold.tick(nowNanos);
     if (rollouts.isEmpty() && abandoned.isEmpty()) {
       return;
     }
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/rollout/RolloutSettings.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/rollout/RolloutSettings.java
@@ -10,11 +10,14 @@
  * @param exposeSlack number of requests that it may get besides
  * @param rollbackNanos time after its 50th bad response from which it may get no request, in
  *     nanoseconds
+ * @param expected whether the settings say that there are roll-outs; only then is a version without
+ *     an order held back when it appears
  */
-public record RolloutSettings(double exposeShare, double exposeSlack, long rollbackNanos) {
+public record RolloutSettings(
+    double exposeShare, double exposeSlack, long rollbackNanos, boolean expected) {
   /** Bounds of the platform where its settings name none. */
   public static final RolloutSettings DEFAULT =
-      new RolloutSettings(0.1, 50, TimeUnit.SECONDS.toNanos(5));
+      new RolloutSettings(0.1, 50, TimeUnit.SECONDS.toNanos(5), false);
 
   /** Checks the ranges. */
   public RolloutSettings {
@@ -23,4 +26,15 @@
           "out of range: " + exposeShare + ", " + exposeSlack + ", " + rollbackNanos);
     }
   }
+
+  /**
+   * Creates settings of a platform with roll-outs.
+   *
+   * @param exposeShare see the record
+   * @param exposeSlack see the record
+   * @param rollbackNanos see the record
+   */
+  public RolloutSettings(double exposeShare, double exposeSlack, long rollbackNanos) {
+    this(exposeShare, exposeSlack, rollbackNanos, true);
+  }
 }
