A take-over in the steps 0.25 and 0.5 does not start their time anew

The share of an adopted step was in force since it was adopted; only ALL must be announced by the evaluator that completes.

--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/rollout/RolloutSteps.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/rollout/RolloutSteps.java
@@ -74,9 +74,15 @@
     }
   }
 
-  /** Starts the present step's time anew: only now does this evaluator announce it. */
+  /**
+   * Starts the time of the last step anew: requests count as settled only while this evaluator
+   * announces it. The other steps were in force since they were adopted; to start them anew would
+   * make an order miss its limit when its evaluator is lost in the step 0.25.
+   */
   void takeOver(long nowNanos) {
-    stepSinceNanos = nowNanos;
+    if (step == RolloutStep.ALL) {
+      stepSinceNanos = nowNanos;
+    }
   }
 
   /** Returns the length of the canary for a duration, both in nanoseconds. */
