--- a/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/rollout/RolloutTest.java
+++ b/org.pomelohollow.decision.test/src/test/java/org/pomelohollow/decision/rollout/RolloutTest.java
@@ -4,8 +4,13 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import net.jqwik.api.Example;
+import org.pomelohollow.model.MemberId;
 
 /**
  * Orders over a whole duration: versions that are bad in different ways get at most 0.1 of the
@@ -69,6 +74,75 @@
     }
   }
 
+  /** Guards against a switch that is reset to the canary when the first evaluator returns. */
+  @Example
+  void aSwitchGoesOnWhenTheFirstEvaluatorRestarts() {
+    for (long backMillis : new long[] {10_300, 11_000, 11_600}) {
+      RolloutSimulation s = simulation(SIZES[1], 12_000, Behaviour.GOOD, 1);
+      String first = evaluators(s).get(0);
+      s.at(8_000, () -> s.killDaemon(first));
+      s.at(backMillis, () -> s.restartDaemon(first));
+      s.runUntil(18_000);
+      String text = backMillis + "\n" + String.join("\n", s.log);
+      assertEquals(RolloutState.COMPLETED, lastState(s, ORDER), text);
+      assertEquals(0, s.log.stream().filter(l -> isCanaryAfter(l, 10_000)).count(), text);
+    }
+  }
+
+  /** Guards against an order that waits for a first evaluator which nobody hears. */
+  @Example
+  void aFirstEvaluatorThatIsNotHeardDoesNotBlockTheOrder() {
+    RolloutSimulation s = simulation(SIZES[1], 12_000, Behaviour.GOOD, 1);
+    s.loseMessagesOf(evaluators(s).get(0));
+    s.runUntil(18_000);
+    String text = String.join("\n", s.log);
+    assertTrue(s.log.stream().anyMatch(l -> l.contains("step ALL")), text);
+    // The daemon that is not heard goes on using the old targets, so they may not be stopped.
+    assertEquals(0, s.runningAtCompletion, text);
+    assertTrue(lastState(s, ORDER).isFinal(), text);
+  }
+
+  /** Guards against durations that leave no time between the canary and the end. */
+  @Example
+  void aGoodVersionIsCompletedWithinAShortDuration() {
+    RolloutSimulation s = simulation(SIZES[1], 7_000, Behaviour.GOOD, 1);
+    s.runUntil(12_000);
+    String text = String.join("\n", s.log);
+    assertEquals(RolloutState.COMPLETED, lastState(s, ORDER), text);
+    assertTrue(writtenMillis(s) <= ORDER_MILLIS + 7_000, text);
+    assertEquals(0, s.runningAtCompletion, text);
+  }
+
+  /** Guards against old targets that are stopped at the time limit while requests run there. */
+  @Example
+  void aRequestThatDoesNotEndAtAnOldTargetIsNotCutOffAtTheLimit() {
+    RolloutSimulation s = simulation(SIZES[1], 12_000, Behaviour.GOOD, 1);
+    s.at(10_000, () -> s.host("old-0").slowness = 200);
+    s.runUntil(18_000);
+    assertEquals(0, s.runningAtCompletion, () -> String.join("\n", s.log));
+    assertEquals(RolloutState.ROLLED_BACK, lastState(s, ORDER));
+  }
+
+  /** Guards against a retry to an old target that the platform is about to stop. */
+  @Example
+  void aRetryAfterCompletionDoesNotGoToAnOldTarget() {
+    RolloutSimulation s = simulation(SIZES[1], 12_000, Behaviour.GOOD, 1);
+    s.runUntil(16_000);
+    Set<MemberId> tried =
+        s.hosts().stream()
+            .filter(h -> h.name.startsWith("new"))
+            .map(h -> h.id)
+            .collect(Collectors.toSet());
+    long now = TimeUnit.MILLISECONDS.toNanos(s.nowMillis());
+    assertEquals(
+        Optional.empty(), s.host("host-0").router.choose(SimulatedHost.SERVICE, tried, now));
+  }
+
+  private static boolean isCanaryAfter(String line, long millis) {
+    return line.contains("step CANARY")
+        && Long.parseLong(line.substring(0, line.indexOf(' '))) > millis;
+  }
+
   @Example
   void aBadVersionIsRolledBackAlthoughItsEvaluatorIsLost() {
     Behaviour late = Behaviour.failing(0.35).onlyIf(r -> r.targetAgeMillis() > 3_000);
--- a/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/rollout/RolloutEvaluator.java
+++ b/org.pomelohollow.decision/src/main/java/org/pomelohollow/decision/rollout/RolloutEvaluator.java
@@ -52,9 +52,13 @@
   private int avoidedCount;
   private int greatestOldLimit;
   private long oldResponses;
+
+  /** Responses of the new version at the last evaluation. */
+  private long responses;
+
   private Optional<Long> idleSinceNanos = Optional.empty();
 
-  /** Whether the order was found completed; it stays so unless the version turns out to be bad. */
+  /** Whether the order was found completed; it stays so while all requests go to the version. */
   private boolean completed;
 
   RolloutEvaluator(RolloutOrder order, RolloutSettings settings) {
@@ -70,21 +74,30 @@
 
   /** Continues from what another evaluator has announced. */
   void adopt(RolloutAnnouncement a, long nowNanos) {
-    steps.adopt(a.step(), nowNanos);
+    steps.adopt(a.step(), responses, nowNanos);
     rotation = Math.max(rotation, a.rotation());
   }
 
+  /** Starts to set the share in place of the evaluator that did so before. */
+  void takeOver(long nowNanos) {
+    steps.takeOver(nowNanos);
+    completed = false;
+  }
+
   /**
-   * Evaluates the order.
+   * Evaluates the order. An evaluator that does not set the share only looks for a bad version:
+   * were its steps to advance as well, it would skip the announcement of some at its take-over.
    *
+   * @param first whether this evaluator sets the share in force
    * @param view what the daemon knows of the members
    * @param elapsedNanos time since the order, in nanoseconds
    * @param nowNanos current monotonic time, in nanoseconds
    * @return share in force, and the end of the order if it is due
    */
-  Decision evaluate(MemberView view, long elapsedNanos, long nowNanos) {
+  Decision evaluate(boolean first, MemberView view, long elapsedNanos, long nowNanos) {
     VersionComparison comparison = new VersionComparison(evidence.spans(this::isOld, nowNanos));
     VersionComparison.Judgement j = judge.judge(comparison, nowNanos);
+    responses = j.responses();
     Use use = use(j, elapsedNanos, nowNanos);
     if (j.bad()) {
       return end(RolloutState.ROLLED_BACK, j.reason(), use);
@@ -97,13 +110,18 @@
       rotatedNanos = nowNanos;
     }
     RolloutSteps.Situation s = situation(view, comparison, use, nowNanos);
+    if (!first) {
+      return new Decision(
+          announcement(0, s.goodSoFar(), elapsedNanos), Optional.empty(), false, "");
+    }
     steps.advance(s, nowNanos);
-    completed |= isCompleted(view, s, nowNanos);
+    completed = steps.step() == RolloutStep.ALL && (completed || isCompleted(view, s, nowNanos));
     if (completed) {
       return end(RolloutState.COMPLETED, "", use);
     }
     if (isTimeUp(elapsedNanos) && view.hasMajority()) {
-      String why = "not judged good in time, " + j.responses() + " responses";
+      String what = steps.step() == RolloutStep.ALL ? "old targets not idle" : "not judged good";
+      String why = what + " in time, " + j.responses() + " responses";
       return end(RolloutState.ROLLED_BACK, present ? why : "no targets of the version", use);
     }
     rotate(nowNanos);
@@ -172,6 +190,7 @@
         evidence.limit(this::isNew, nowNanos),
         demand(nowNanos),
         comparison.slowNanos(),
+        comparison.longestNanos(),
         view.hasMajority(),
         budget.allowsStep(
             use.budgetUse(), RolloutStep.QUARTER.share(), RolloutSteps.MAX_QUARTER_NANOS, left),
@@ -223,14 +242,18 @@
 
   /** Tracks since when nothing runs or ends at the old targets. */
   private void trackOldTargets(long nowNanos) {
-    long responses = evidence.spans(this::isOld, nowNanos).all().responses();
-    boolean busy = responses != oldResponses || evidence.inFlight(this::isOld, nowNanos) > 0;
+    long ended = evidence.spans(this::isOld, nowNanos).all().responses();
+    boolean busy = ended != oldResponses || evidence.inFlight(this::isOld, nowNanos) > 0;
     if (busy || idleSinceNanos.isEmpty()) {
-      oldResponses = responses;
+      oldResponses = ended;
       idleSinceNanos = Optional.of(nowNanos);
     }
   }
 
+  /**
+   * Returns whether the old targets may be stopped. That the time is up is no reason: the requests
+   * that run there would be lost, and some may not be repeated. A roll-back loses none.
+   */
   private boolean isCompleted(MemberView view, RolloutSteps.Situation s, long nowNanos) {
     if (steps.step() != RolloutStep.ALL
         || steps.lastedNanos(nowNanos) < SETTLED_NANOS
@@ -240,10 +263,8 @@
     }
     List<MemberId> fresh =
         evidence.freshTargets(this::isOld, nowNanos).stream().map(Evidence.Target::member).toList();
-    boolean idle =
-        nowNanos - idleSinceNanos.orElse(nowNanos) >= IDLE_NANOS
-            && fresh.containsAll(view.oldTargets());
-    return idle || isTimeUp(s.elapsedNanos());
+    return nowNanos - idleSinceNanos.orElse(nowNanos) >= IDLE_NANOS
+        && fresh.containsAll(view.oldTargets());
   }
 
   private boolean isTimeUp(long elapsedNanos) {
